Add the whole path: entry, agent, ctl, stand-ins, on real sockets

Cause: nothing stood yet. A caller's request has to go look-up, entry, backend server, with settings from the platform's object API that change without a restart, each part a process of its own.

Change: state and coordination as pure state machines (records of request ids, ranked dispatch over counted slots, capped splits, headroom grants, claims, crash suspicion, membership, replicated items), protocol, transport by connect-es, koa and got, programs entry, agent and ctl, stand-ins for the platform and for backend servers, npm start.

Found while testing on sockets, each now a test: a request whose earlier try may have run was reported as not run when the last try was refused; a POST without a body was never sent (got waits for one); a kept answer was noted after its request had been settled. Ruled out for the last: loss in the record table, whose entry was there without an answer.

Not measured yet: latency, floods, spread.

--- /dev/null
+++ b/src/bin/load.ts
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import './programs.js';
--- /dev/null
+++ b/src/coordination/dispatchers.ts
@@ -0,0 +1,586 @@
+/**
+ * Dispatches the work of one service to the backend servers that this entry VM has claimed.
+ *
+ * One queue for each rank, fair between callers. Slots are counted here and nowhere else. The most
+ * urgent rank goes first; lower ranks have a floor that they always get and a ceiling that they
+ * never pass, so some slots are never held by long work. Pure: time comes with each call.
+ */
+import { FairQueue, RANKS, asUnknown, notRun, unknown } from '../state/index.js';
+import type {
+  BackendServerId,
+  BackendServerSettings,
+  CallerId,
+  Failure,
+  Fingerprint,
+  NotRunCode,
+  Rank,
+  ServiceName,
+  ServiceSettings,
+} from '../state/index.js';
+import { ShareBudget } from './budgets.js';
+import type { CrashVerdict } from './crashes.js';
+import { RunTimes } from './runtimes.js';
+import { ServerSlots } from './slots.js';
+import type { ServerPhase } from './slots.js';
+
+/** Names a request inside one entry process. */
+export type Ticket = string & { readonly Ticket: unique symbol };
+
+/** Names one run of a request on a backend server. */
+export type RunId = string & { readonly RunId: unique symbol };
+
+/** A request that may be queued and run. */
+export interface Work {
+  readonly ticket: Ticket;
+  readonly caller: CallerId;
+  readonly rank: Rank;
+  readonly idempotent: boolean;
+  readonly fingerprint: Fingerprint;
+  /** Whether the body is kept whole, so that the request can be sent again. */
+  readonly replayable: boolean;
+  /** Monotonic, in milliseconds. */
+  readonly deadlineMs: number;
+}
+
+/** How a run on a backend server ended. */
+export type RunResult =
+  | { readonly type: 'answered' }
+  /** Refused before running, in the backend server's protocol. */
+  | { readonly type: 'refused'; readonly retryAfterMs: number }
+  /** No connection, so no byte was sent. */
+  | { readonly type: 'unreachable' }
+  /** The connection was lost after bytes were sent. */
+  | { readonly type: 'lost'; readonly crashed: boolean }
+  /** No progress on this connection while the server answers on others. */
+  | { readonly type: 'silent' }
+  /** The answer ended early; part of it may have reached the caller. */
+  | { readonly type: 'truncated'; readonly relayed: boolean }
+  /** Stopped from here. */
+  | { readonly type: 'stopped' };
+
+export type DispatchEffect =
+  | {
+      readonly type: 'run';
+      readonly ticket: Ticket;
+      readonly runId: RunId;
+      readonly server: BackendServerId;
+    }
+  | { readonly type: 'stopRun'; readonly runId: RunId }
+  | { readonly type: 'probe'; readonly runId: RunId; readonly server: BackendServerId }
+  | { readonly type: 'fail'; readonly ticket: Ticket; readonly failure: Failure };
+
+/** A server that this entry VM has a claim on. */
+export interface ClaimedServer {
+  readonly settings: BackendServerSettings;
+  readonly phase: ServerPhase;
+}
+
+/** A request and the run it has now. */
+export interface RunningWork {
+  readonly runId: RunId;
+  readonly work: Work;
+}
+
+interface Run {
+  readonly runId: RunId;
+  readonly entry: Entry;
+  readonly server: ServerSlots;
+  readonly startedMs: number;
+  readonly hedge: boolean;
+  begun: boolean;
+  /** When its connection was last checked, or the run's start. */
+  checkedMs: number;
+}
+
+interface Entry extends Work {
+  attempts: number;
+  readonly runs: Set<Run>;
+  cancelled: boolean;
+  /** Must run alone on its server, since its content is suspected of a crash. */
+  isolate: boolean;
+  /** A run of it ended in a way that leaves open whether the server ran it. */
+  mayHaveRun: boolean;
+}
+
+/** Times a request that never ran is put on another server. */
+const MAX_ATTEMPTS = 4;
+
+/** Time after which a stopped run has freed its slot on the server, in milliseconds. */
+const STOP_SETTLE_MS = 20;
+
+/** Most retries that may be saved up. */
+const RETRY_BURST = 10;
+
+/** Work that hedges may add, as a share of first runs. */
+const HEDGE_SHARE = 0.02;
+
+const HEDGE_BURST = 3;
+
+/** Least age at which a run is hedged, in milliseconds. */
+const MIN_HEDGE_MS = 15;
+
+/** Least time without a byte after which a connection is checked, in milliseconds. */
+const MIN_SILENCE_MS = 300;
+
+/** Silence that is checked before any run time is known, in milliseconds. */
+const FIRST_SILENCE_MS = 1_000;
+
+/** Slow run times that make a silence. */
+const SILENCE_FACTOR = 3;
+
+/** Share of the average run time that must be left to start a run. */
+const LEAST_TIME_LEFT = 0.5;
+
+export class Dispatcher {
+  #service: ServiceSettings;
+
+  readonly #verdict: (fingerprint: Fingerprint) => CrashVerdict;
+
+  readonly #servers = new Map<BackendServerId, ServerSlots>();
+
+  readonly #queues: Readonly<Record<Rank, FairQueue<Entry>>> = {
+    urgent: new FairQueue<Entry>(),
+    interactive: new FairQueue<Entry>(),
+    bulk: new FairQueue<Entry>(),
+  };
+
+  readonly #inUse: Record<Rank, number> = { urgent: 0, interactive: 0, bulk: 0 };
+
+  readonly #entries = new Map<Ticket, Entry>();
+
+  readonly #runs = new Map<RunId, Run>();
+
+  readonly #retries = new ShareBudget(RETRY_BURST);
+
+  readonly #hedges = new ShareBudget(HEDGE_BURST);
+
+  readonly #times = new RunTimes();
+
+  #isolated: Entry[] = [];
+
+  #nextRun = 0;
+
+  /** @param verdict - says whether content is suspected of crashing servers. */
+  constructor(service: ServiceSettings, verdict: (fingerprint: Fingerprint) => CrashVerdict) {
+    this.#service = service;
+    this.#verdict = verdict;
+  }
+
+  get service(): ServiceName {
+    return this.#service.name;
+  }
+
+  /** Slots open now. */
+  slots(nowMs: number): number {
+    return [...this.#servers.values()].reduce((sum, server) => sum + server.open(nowMs), 0);
+  }
+
+  /** Runs under way. */
+  get running(): number {
+    return this.#runs.size;
+  }
+
+  queued(rank: Rank): number {
+    return this.#queues[rank].size;
+  }
+
+  get waiting(): number {
+    return RANKS.reduce((sum, rank) => sum + this.queued(rank), this.#isolated.length);
+  }
+
+  /** Servers that still have work of this dispatcher. */
+  busyServers(): readonly BackendServerId[] {
+    return [...this.#servers.values()].filter((each) => each.runs > 0).map((each) => each.id);
+  }
+
+  /** The runs on one run's server, itself included. */
+  runsBeside(runId: RunId): readonly RunningWork[] {
+    const server = this.#runs.get(runId)?.server;
+    return [...this.#runs.values()]
+      .filter((run) => run.server === server)
+      .map((run) => ({ runId: run.runId, work: run.entry }));
+  }
+
+  /** Takes new settings and claims. */
+  configure(
+    service: ServiceSettings,
+    claimed: readonly ClaimedServer[],
+    nowMs: number,
+  ): readonly DispatchEffect[] {
+    this.#service = service;
+    const ids = new Set(claimed.map((each) => each.settings.id));
+    this.#servers.forEach((server) => {
+      if (ids.has(server.id)) return;
+      if (server.runs === 0) this.#servers.delete(server.id);
+      else server.update(server.settings, 'released', service.rampMs, nowMs);
+    });
+    claimed.forEach(({ settings, phase }) => {
+      const server =
+        this.#servers.get(settings.id) ?? new ServerSlots(settings, service.rampMs, nowMs);
+      this.#servers.set(settings.id, server);
+      server.update(settings, phase, service.rampMs, nowMs);
+    });
+    return this.#fill(nowMs);
+  }
+
+  /** Takes a request in, or fails it as not run. */
+  submit(work: Work, nowMs: number): readonly DispatchEffect[] {
+    const slots = this.slots(nowMs);
+    if (slots === 0 && this.#servers.size === 0) return [fail(work, 'no_server')];
+    const entry: Entry = {
+      ...work,
+      attempts: 0,
+      runs: new Set(),
+      cancelled: false,
+      isolate: false,
+      mayHaveRun: false,
+    };
+    const suspect = this.#screen(entry);
+    if (suspect !== undefined) return [...suspect, ...this.#fill(nowMs)];
+    if (this.#waitMs(work, slots) > work.deadlineMs - nowMs) return [fail(work, 'overloaded')];
+    this.#entries.set(work.ticket, entry);
+    const bound = Math.max(1, slots) * this.#service.queuePerSlot;
+    const dropped = this.#queues[work.rank].push(entry, bound);
+    const effects = dropped === undefined ? [] : [this.#drop(dropped, 'queue_full')];
+    return [...effects, ...this.#fill(nowMs)];
+  }
+
+  /** Refuses or sets apart suspected content; undefined when there is no suspicion. */
+  #screen(entry: Entry): readonly DispatchEffect[] | undefined {
+    const verdict = this.#verdict(entry.fingerprint);
+    if (verdict === 'allow') return undefined;
+    if (verdict === 'refuse') return [this.#drop(entry, 'quarantined')];
+    entry.isolate = true;
+    this.#entries.set(entry.ticket, entry);
+    this.#isolated.push(entry);
+    return [];
+  }
+
+  /** The caller is gone: drops what waits, stops what may be stopped. */
+  cancel(ticket: Ticket, nowMs: number): readonly DispatchEffect[] {
+    const entry = this.#entries.get(ticket);
+    if (entry === undefined) return [];
+    entry.cancelled = true;
+    if (entry.runs.size === 0) {
+      this.#removeQueued((each) => each === entry);
+      return [this.#drop(entry, 'cancelled')];
+    }
+    const stops = entry.idempotent ? [...entry.runs].map((run) => stopOf(run)) : [];
+    return [...stops, ...this.#fill(nowMs)];
+  }
+
+  /**
+   * The first bytes of a good answer are there. The other runs of the request are stopped.
+   *
+   * @returns `undefined` when another run was first and this one's answer must be dropped.
+   */
+  begun(runId: RunId): readonly DispatchEffect[] | undefined {
+    const run = this.#runs.get(runId);
+    if (run === undefined) return undefined;
+    const others = [...run.entry.runs].filter((each) => each !== run);
+    if (others.some((each) => each.begun)) return undefined;
+    run.begun = true;
+    return others.map((each) => stopOf(each));
+  }
+
+  /** A run ended. */
+  finished(runId: RunId, result: RunResult, nowMs: number): readonly DispatchEffect[] {
+    const run = this.#runs.get(runId);
+    if (run === undefined) return [];
+    this.#endRun(run, result, nowMs);
+    return [...this.#afterRun(run, result, nowMs), ...this.#fill(nowMs)];
+  }
+
+  /** Fails what has waited too long, hedges slow runs, fills slots that opened with time. */
+  tick(nowMs: number): readonly DispatchEffect[] {
+    const late = this.#removeQueued((entry) => entry.deadlineMs <= nowMs);
+    const left = this.#servers.size === 0 ? this.#removeQueued(() => true) : [];
+    const effects = [
+      ...late.map((entry) => this.#drop(entry, 'deadline')),
+      ...left.map((entry) => this.#drop(entry, 'no_server')),
+    ];
+    return [
+      ...effects,
+      ...this.#hedgeSlow(nowMs),
+      ...this.#checkSilent(nowMs),
+      ...this.#fill(nowMs),
+    ];
+  }
+
+  /**
+   * The server answered a probe on a new connection, or did not. If it did, the connection of an
+   * idempotent run that stays silent is given up, within the budget of retries. If it did not, the
+   * server gets no new work for a while.
+   */
+  probed(runId: RunId, alive: boolean, nowMs: number): readonly DispatchEffect[] {
+    const run = this.#runs.get(runId);
+    if (run === undefined || run.begun) return [];
+    if (!alive) {
+      run.server.down(nowMs);
+      return [];
+    }
+    if (run.entry.runs.size > 1 || !this.#retries.spend()) return [];
+    this.#endRun(run, { type: 'silent' }, nowMs);
+    this.#queues[run.entry.rank].unshift(run.entry);
+    return [stopOf(run), ...this.#fill(nowMs)];
+  }
+
+  #checkSilent(nowMs: number): DispatchEffect[] {
+    return [...this.#runs.values()].flatMap((run): DispatchEffect[] => {
+      const { entry } = run;
+      if (run.begun || !entry.idempotent || !entry.replayable || entry.isolate) return [];
+      const slowMs = this.#times.slow(entry.rank);
+      const limitMs = Number.isFinite(slowMs)
+        ? Math.max(MIN_SILENCE_MS, slowMs * SILENCE_FACTOR)
+        : FIRST_SILENCE_MS;
+      if (nowMs - run.checkedMs < limitMs) return [];
+      run.checkedMs = nowMs;
+      return [{ type: 'probe', runId: run.runId, server: run.server.id }];
+    });
+  }
+
+  /** Gives all servers back, since the service is gone. Runs go on to their end. */
+  release(nowMs: number): readonly DispatchEffect[] {
+    return this.configure(this.#service, [], nowMs);
+  }
+
+  /** Whether it has neither servers nor work. */
+  get idle(): boolean {
+    return this.#servers.size === 0 && this.#entries.size === 0;
+  }
+
+  /** Estimates the wait of a new request from what goes before it, in milliseconds. */
+  #waitMs(work: Work, slots: number): number {
+    const meanMs = this.#times.mean(work.rank);
+    if (meanMs === undefined || slots === 0) return 0;
+    const rank = RANKS.indexOf(work.rank);
+    const above = RANKS.slice(0, rank);
+    const ahead = above.reduce((sum, each) => sum + this.queued(each), 0);
+    const own = this.#queues[work.rank].ahead(work.caller);
+    const aboveUse = above.reduce((sum, each) => sum + this.#inUse[each], 0);
+    const usable = Math.max(this.#floorSlots(work.rank, slots), slots - aboveUse, 1);
+    return ((ahead + own) * meanMs) / usable + meanMs * LEAST_TIME_LEFT;
+  }
+
+  #floorSlots(rank: Rank, slots: number): number {
+    return rank === 'urgent' ? 0 : Math.ceil(slots * this.#service.floors[rank]);
+  }
+
+  /** Whether a rank stays under its ceiling with one more run. Ranks below count as well. */
+  #underCeiling(rank: Rank, slots: number): boolean {
+    const { ceilings } = this.#service;
+    const { interactive, bulk } = this.#inUse;
+    const most = (share: number) => Math.max(1, Math.floor(slots * share));
+    if (rank === 'urgent') return true;
+    const lowerUse = interactive + bulk;
+    if (lowerUse >= Math.max(most(ceilings.interactive), most(ceilings.bulk))) return false;
+    return rank === 'interactive' || bulk < most(ceilings.bulk);
+  }
+
+  /** The rank whose turn it is, or undefined when none may start. */
+  #nextRank(slots: number): Rank | undefined {
+    const waiting = RANKS.filter((rank) => this.queued(rank) > 0);
+    const owed = waiting.find(
+      (rank) => rank !== 'urgent' && this.#inUse[rank] < this.#floorSlots(rank, slots),
+    );
+    return owed ?? waiting.find((rank) => this.#underCeiling(rank, slots));
+  }
+
+  #fill(nowMs: number): DispatchEffect[] {
+    const effects = this.#startIsolated(nowMs);
+    const slots = this.slots(nowMs);
+    for (;;) {
+      const server = this.#bestServer(nowMs);
+      const rank = server === undefined ? undefined : this.#nextRank(slots);
+      if (server === undefined || rank === undefined) return effects;
+      const entry = this.#queues[rank].shift();
+      if (entry === undefined) return effects;
+      const leastMs = (this.#times.mean(rank) ?? 0) * LEAST_TIME_LEFT;
+      const suspect = this.#screen(entry);
+      if (suspect !== undefined) effects.push(...suspect);
+      else if (entry.deadlineMs - nowMs <= leastMs) effects.push(this.#drop(entry, 'deadline'));
+      else effects.push(this.#start(entry, server, false, nowMs));
+    }
+  }
+
+  /** The server where one more run should end first. */
+  #bestServer(nowMs: number, except?: ServerSlots): ServerSlots | undefined {
+    let best: ServerSlots | undefined;
+    let bestCost = Infinity;
+    this.#servers.forEach((server) => {
+      if (server === except || server.free(nowMs) === 0) return;
+      const cost = ((server.used(nowMs) + 1) / server.open(nowMs)) * server.slowness;
+      if (cost >= bestCost) return;
+      best = server;
+      bestCost = cost;
+    });
+    return best;
+  }
+
+  /** Starts suspected content where a server is empty, and keeps other work off that server. */
+  #startIsolated(nowMs: number): DispatchEffect[] {
+    const started: DispatchEffect[] = [];
+    this.#isolated = this.#isolated.filter((entry) => {
+      const same = [...this.#runs.values()].some(
+        (run) => run.entry.fingerprint === entry.fingerprint,
+      );
+      if (same) return true;
+      const server = [...this.#servers.values()].find(
+        (each) => each.free(nowMs) > 0 && each.used(nowMs) === 0,
+      );
+      if (server === undefined) return true;
+      const effect = this.#start(entry, server, false, nowMs);
+      if (effect.type === 'run') server.exclusiveFor = effect.runId;
+      started.push(effect);
+      return false;
+    });
+    return started;
+  }
+
+  #start(entry: Entry, server: ServerSlots, hedge: boolean, nowMs: number): DispatchEffect {
+    this.#nextRun += 1;
+    const runId = `${entry.ticket}#${this.#nextRun}` as RunId;
+    const run: Run = {
+      runId,
+      entry,
+      server,
+      startedMs: nowMs,
+      hedge,
+      begun: false,
+      checkedMs: nowMs,
+    };
+    entry.runs.add(run);
+    if (entry.attempts === 0) {
+      this.#retries.earn(this.#service.retryShare);
+      this.#hedges.earn(HEDGE_SHARE);
+    }
+    if (!hedge) entry.attempts += 1;
+    server.start(runId, entry.rank);
+    this.#inUse[entry.rank] += 1;
+    this.#runs.set(runId, run);
+    return { type: 'run', ticket: entry.ticket, runId, server: server.id };
+  }
+
+  #endRun(run: Run, result: RunResult, nowMs: number): void {
+    this.#runs.delete(run.runId);
+    run.entry.runs.delete(run);
+    if (mayHaveRun(result)) run.entry.mayHaveRun = true;
+    this.#inUse[run.entry.rank] -= 1;
+    run.server.end(run.runId, heldUntil(run, result, nowMs));
+    if (result.type === 'answered') {
+      const relative = this.#times.record(run.entry.rank, nowMs - run.startedMs);
+      run.server.succeeded(relative);
+    }
+    if (result.type === 'refused') run.server.refused(result.retryAfterMs, nowMs);
+    if (result.type === 'unreachable') run.server.down(nowMs);
+    if (result.type === 'lost' && result.crashed) run.server.down(nowMs);
+    if (run.server.phase === 'released' && run.server.runs === 0) {
+      this.#servers.delete(run.server.id);
+    }
+  }
+
+  #afterRun(run: Run, result: RunResult, nowMs: number): DispatchEffect[] {
+    const { entry } = run;
+    if (result.type === 'answered') {
+      this.#entries.delete(entry.ticket);
+      return [...entry.runs].map((each) => stopOf(each));
+    }
+    if (entry.runs.size > 0) return [];
+    if (!this.#entries.has(entry.ticket)) return [];
+    const failure = failureOf(result, entry);
+    if (entry.cancelled) return [this.#settle(entry, failure)];
+    if (this.#mayIsolate(entry, result, nowMs)) return [...(this.#screen(entry) ?? [])];
+    if (!this.#mayRepeat(entry, result, nowMs)) return [this.#settle(entry, failure)];
+    this.#queues[entry.rank].unshift(entry);
+    return [];
+  }
+
+  /** Repeats what surely did not run, and idempotent work within the budget. */
+  #mayRepeat(entry: Entry, result: RunResult, nowMs: number): boolean {
+    if (!entry.replayable || entry.isolate) return false;
+    if (entry.attempts >= MAX_ATTEMPTS || entry.deadlineMs <= nowMs) return false;
+    if (result.type === 'refused' || result.type === 'unreachable') return true;
+    if (!entry.idempotent) return false;
+    if (result.type === 'truncated' && result.relayed) return false;
+    if (result.type === 'lost' && result.crashed) return false;
+    return this.#retries.spend();
+  }
+
+  /** Idempotent work that was on a crashed server may run once more, alone. */
+  #mayIsolate(entry: Entry, result: RunResult, nowMs: number): boolean {
+    const crashed = result.type === 'lost' && result.crashed;
+    if (!crashed || !entry.idempotent || !entry.replayable) return false;
+    return entry.deadlineMs > nowMs && this.#verdict(entry.fingerprint) === 'isolate';
+  }
+
+  #hedgeSlow(nowMs: number): DispatchEffect[] {
+    if (this.waiting > 0) return [];
+    const effects: DispatchEffect[] = [];
+    this.#runs.forEach((run) => {
+      const { entry } = run;
+      if (!entry.idempotent || !entry.replayable || entry.isolate || entry.cancelled) return;
+      if (run.begun || run.hedge || entry.runs.size > 1) return;
+      const ageMs = nowMs - run.startedMs;
+      if (ageMs < Math.max(MIN_HEDGE_MS, this.#times.slow(entry.rank))) return;
+      const server = this.#bestServer(nowMs, run.server);
+      if (server === undefined || !this.#underCeiling(entry.rank, this.slots(nowMs))) return;
+      if (!this.#hedges.spend()) return;
+      effects.push(this.#start(entry, server, true, nowMs));
+    });
+    return effects;
+  }
+
+  #removeQueued(test: (entry: Entry) => boolean): Entry[] {
+    const isolated = this.#isolated.filter(test);
+    this.#isolated = this.#isolated.filter((entry) => !test(entry));
+    return [...isolated, ...RANKS.flatMap((rank) => this.#queues[rank].remove(test))];
+  }
+
+  #drop(entry: Entry, code: NotRunCode): DispatchEffect {
+    return this.#settle(entry, notRun(code));
+  }
+
+  #settle(entry: Entry, failure: Failure): DispatchEffect {
+    this.#entries.delete(entry.ticket);
+    const honest = entry.mayHaveRun ? asUnknown(failure) : failure;
+    return { type: 'fail', ticket: entry.ticket, failure: honest };
+  }
+}
+
+function fail(work: Work, code: NotRunCode): DispatchEffect {
+  return { type: 'fail', ticket: work.ticket, failure: notRun(code) };
+}
+
+function stopOf(run: Run): DispatchEffect {
+  return { type: 'stopRun', runId: run.runId };
+}
+
+/** Whether the server may have run a request whose run ended so. */
+function mayHaveRun(result: RunResult): boolean {
+  return result.type !== 'refused' && result.type !== 'unreachable';
+}
+
+/** When the slot of an ended run is sure to be free on the server. */
+function heldUntil(run: Run, result: RunResult, nowMs: number): number {
+  if (result.type === 'stopped') return nowMs + STOP_SETTLE_MS;
+  if (result.type === 'silent') return run.entry.deadlineMs;
+  if (result.type === 'lost' && !result.crashed) return run.entry.deadlineMs;
+  return nowMs;
+}
+
+function failureOf(result: RunResult, entry: Entry): Failure {
+  switch (result.type) {
+    case 'refused':
+      return notRun('overloaded');
+    case 'unreachable':
+      return notRun('unreachable');
+    case 'truncated':
+      return unknown(result.relayed ? 'truncated' : 'connection_lost');
+    case 'lost':
+      return unknown(result.crashed ? 'backend_crashed' : 'connection_lost');
+    case 'stopped':
+      return entry.cancelled && entry.idempotent ? unknown('connection_lost') : unknown('deadline');
+    default:
+      return unknown('connection_lost');
+  }
+}
--- /dev/null
+++ b/src/protocol/codecs.ts
@@ -0,0 +1,32 @@
+/** Turns typed messages into frames and back; what does not match its schema is an issue. */
+import { create } from '@bufbuild/protobuf';
+import { decode, encode } from '@msgpack/msgpack';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { z } from 'zod';
+import { FrameSchema } from './gen/lovagesail_pb.js';
+import type { Frame } from './gen/lovagesail_pb.js';
+
+export interface BadFrame {
+  readonly code: 'bad_frame';
+  readonly message: string;
+}
+
+/** Encodes a message as MessagePack in a frame. */
+export function toFrame(message: unknown): Frame {
+  return create(FrameSchema, { body: encode(message, { ignoreUndefined: true }) });
+}
+
+/** Decodes a frame and checks it. */
+export function fromFrame<Schema extends z.ZodType>(
+  schema: Schema,
+  frame: Frame,
+): Result<z.infer<Schema>, BadFrame> {
+  try {
+    const parsed = schema.safeParse(decode(frame.body));
+    if (parsed.success) return Ok(parsed.data);
+    return Err({ code: 'bad_frame', message: parsed.error.message });
+  } catch (err) {
+    return Err({ code: 'bad_frame', message: String(err) });
+  }
+}
--- /dev/null
+++ b/src/state/ids.ts
@@ -0,0 +1,66 @@
+/** Branded identifiers. Each name is both a schema and the type it checks. */
+import { z } from 'zod';
+
+const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+const name = () => z.string().regex(NAME, 'lower-case letters, digits and hyphens, at most 63');
+
+/** A VM that runs one entry and one agent. */
+export const EntryVmId = name().brand<'EntryVmId'>();
+export type EntryVmId = z.infer<typeof EntryVmId>;
+
+/** A zone whose machines can fail or be cut off together. */
+export const FailureDomainId = name().brand<'FailureDomainId'>();
+export type FailureDomainId = z.infer<typeof FailureDomainId>;
+
+/** A group of failure domains in one place. */
+export const RegionId = name().brand<'RegionId'>();
+export type RegionId = z.infer<typeof RegionId>;
+
+export const ServiceName = name().brand<'ServiceName'>();
+export type ServiceName = z.infer<typeof ServiceName>;
+
+export const BackendServerId = name().brand<'BackendServerId'>();
+export type BackendServerId = z.infer<typeof BackendServerId>;
+
+export const TeamName = name().brand<'TeamName'>();
+export type TeamName = z.infer<typeof TeamName>;
+
+/** Names one start of an entry process; a replacement at the same address has another. */
+export const Incarnation = z
+  .string()
+  .regex(/^[a-z0-9]{8,24}$/, '8 to 24 lower-case letters and digits')
+  .brand<'Incarnation'>();
+export type Incarnation = z.infer<typeof Incarnation>;
+
+/** A path of settings, such as `shops/order-desk`. */
+export const SettingsPath = z
+  .string()
+  .regex(/^[a-z0-9-]+(\/[a-z0-9-]+)*$/, 'lower-case names joined by single slashes')
+  .max(200)
+  .brand<'SettingsPath'>();
+export type SettingsPath = z.infer<typeof SettingsPath>;
+
+/** The key under which a caller sends one request, also when it sends it again. */
+export const RequestId = z
+  .string()
+  .regex(/^[\x21-\x7e]{1,200}$/, '1 to 200 visible ASCII characters')
+  .brand<'RequestId'>();
+export type RequestId = z.infer<typeof RequestId>;
+
+/** Whoever sends requests, as far as fairness is concerned: an address or a configured header. */
+export const CallerId = z.string().min(1).max(200).brand<'CallerId'>();
+export type CallerId = z.infer<typeof CallerId>;
+
+/** A hash of a request's method, path and body; equal content has an equal fingerprint. */
+export const Fingerprint = z
+  .string()
+  .regex(/^[0-9a-f]{32}$/, '32 hexadecimal digits')
+  .brand<'Fingerprint'>();
+export type Fingerprint = z.infer<typeof Fingerprint>;
+
+/** A TCP endpoint: a numeric address and a port. */
+export const Endpoint = z
+  .string()
+  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'numeric address and port')
+  .brand<'Endpoint'>();
+export type Endpoint = z.infer<typeof Endpoint>;
--- /dev/null
+++ b/src/state/outcomes.ts
@@ -0,0 +1,62 @@
+/** How a request ended, as its caller is told. */
+import { z } from 'zod';
+
+/** Why a request was not run. It is safe to send again. */
+export const NotRunCode = z.enum([
+  'bad_request',
+  'content_mismatch',
+  'cancelled',
+  'deadline',
+  'future_epoch',
+  'link_full',
+  'no_entry_vm',
+  'no_grant',
+  'no_server',
+  'overloaded',
+  'quarantined',
+  'queue_full',
+  'records_full',
+  'shift_capped',
+  'stopping',
+  'too_large',
+  'unknown_service',
+  'unprefixed_id',
+  'unreachable',
+  'wrong_incarnation',
+]);
+export type NotRunCode = z.infer<typeof NotRunCode>;
+
+/** Why it can't be told whether a request ran. */
+export const UnknownCode = z.enum([
+  'answer_gone',
+  'backend_crashed',
+  'closed_epoch',
+  'connection_lost',
+  'deadline',
+  'owner_gone',
+  'truncated',
+]);
+export type UnknownCode = z.infer<typeof UnknownCode>;
+
+/** An end without an answer. */
+export const Failure = z.discriminatedUnion('outcome', [
+  z.object({ outcome: z.literal('notRun'), code: NotRunCode }),
+  z.object({ outcome: z.literal('unknown'), code: UnknownCode }),
+]);
+export type Failure = z.infer<typeof Failure>;
+
+/** Makes the failure of a request that did not run. */
+export function notRun(code: NotRunCode): Failure {
+  return { outcome: 'notRun', code };
+}
+
+/** Makes the failure of a request that may have run. */
+export function unknown(code: UnknownCode): Failure {
+  return { outcome: 'unknown', code };
+}
+
+/** The failure of a request of which an earlier try may have run. */
+export function asUnknown(failure: Failure): Failure {
+  if (failure.outcome === 'unknown') return failure;
+  return unknown(failure.code === 'deadline' ? 'deadline' : 'connection_lost');
+}
--- /dev/null
+++ b/src/transport/agents.ts
@@ -0,0 +1,346 @@
+/** The agent's task: owns its sockets and timers, and turns effects of the state machine into I/O. */
+import type http2 from 'node:http2';
+import {
+  AgentMachine,
+  HEARTBEAT_MS,
+  authorize,
+  crashItem,
+  crashOfItem,
+  vmKey,
+  writeSettings,
+} from '../coordination/index.js';
+import type { AgentEffect } from '../coordination/index.js';
+import { SETTINGS_ROOT, VMS_ROOT } from '../protocol/index.js';
+import type {
+  AgentConfig,
+  AgentUpdate,
+  EntryReport,
+  OperatorReply,
+  OperatorRequest,
+  PeerMessage,
+  PeerReply,
+  PlatformObject,
+} from '../protocol/index.js';
+import {
+  Incarnation,
+  SettingsPath,
+  SettingsView,
+  StoredSettings,
+  checkSettings,
+  settingsKey,
+  settingsPathOf,
+} from '../state/index.js';
+import type { Endpoint, MemberRecord, ReplicaItem } from '../state/index.js';
+import { pause, systemClock } from './clocks.js';
+import type { Clock } from './clocks.js';
+import type { Logger } from './logs.js';
+import { AgentClient, serveAgent } from './peers.js';
+import { PlatformClient } from './platforms.js';
+import { UpdateStream } from './streams.js';
+
+/** First pause after a failed watch, in milliseconds; it doubles up to `MAX_BACKOFF_MS`. */
+const FIRST_BACKOFF_MS = 500;
+
+const MAX_BACKOFF_MS = 15_000;
+
+/** Time for which a report waits until other agents were told, in milliseconds. */
+const REPORT_WAIT_MS = 200;
+
+export class AgentTask {
+  readonly #cfg: AgentConfig;
+
+  readonly #log: Logger;
+
+  readonly #clock: Clock;
+
+  readonly #machine: AgentMachine;
+
+  readonly #platform: PlatformClient;
+
+  /** Checks of a change need the settings in force. */
+  readonly #view = new SettingsView();
+
+  readonly #clients = new Map<Endpoint, AgentClient>();
+
+  readonly #subscribers = new Set<UpdateStream<AgentUpdate>>();
+
+  #watch: AbortController | undefined;
+
+  #server: http2.Http2Server | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #loggedMembers = '';
+
+  constructor(cfg: AgentConfig, log: Logger, clock: Clock = systemClock) {
+    this.#cfg = cfg;
+    this.#log = log;
+    this.#clock = clock;
+    this.#platform = new PlatformClient(cfg.platform, cfg.platformCallsPerSecond, clock);
+    const { id, failureDomain, callerAddress, peerAddress, agentAddress } = cfg;
+    this.#machine = new AgentMachine(
+      {
+        id,
+        failureDomain,
+        callerAddress,
+        peerAddress,
+        agentAddress,
+        heartbeat: Math.floor(clock().wallMs),
+        incarnation: Incarnation.parse('00000000'),
+        phase: 'starting',
+        epoch: 0,
+        dispatching: [],
+      },
+      Math.random,
+      { seeds: cfg.seeds.filter((seed) => seed !== agentAddress) },
+    );
+  }
+
+  async start(): Promise<void> {
+    this.#server = await serveAgent(this.#cfg.agentAddress, {
+      subscribe: (req, signal) => this.#subscribe(signal),
+      report: (report) => this.#report(report),
+      exchange: (message) => this.#exchange(message),
+      operate: (req) => this.#operate(req),
+    });
+    this.#timer = setInterval(() => this.#tick(), HEARTBEAT_MS);
+    this.#tick();
+    this.#log('processStarted', { address: this.#cfg.agentAddress });
+  }
+
+  /** Stops at once: others find out by missing heartbeats, and hold the same items. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#watch?.abort();
+    this.#subscribers.forEach((stream) => stream.end());
+    this.#server?.close();
+    this.#log('processStopped');
+  }
+
+  #tick(): void {
+    this.#perform(this.#machine.handle({ type: 'tick' }, this.#clock()));
+  }
+
+  #exchange(message: PeerMessage): PeerReply {
+    const { reply, effects } = this.#machine.receive(message, this.#clock());
+    this.#perform(effects);
+    return reply;
+  }
+
+  /** Takes an entry's report; crash reports wait a little until others were told. */
+  async #report(report: EntryReport): Promise<void> {
+    const effects = this.#machine.handle({ type: 'entryReport', report }, this.#clock());
+    const told = this.#perform(effects);
+    if (report.items.length > 0) await Promise.race([told, pause(REPORT_WAIT_MS)]);
+  }
+
+  async *#subscribe(signal: AbortSignal): AsyncIterable<AgentUpdate> {
+    const stream = new UpdateStream<AgentUpdate>();
+    signal.addEventListener('abort', () => stream.end());
+    this.#subscribers.add(stream);
+    stream.push({ type: 'items', items: [...this.#machine.items()] });
+    stream.push({ type: 'members', members: [...this.#machine.members(this.#clock().nowMs)] });
+    yield* stream;
+    this.#subscribers.delete(stream);
+    if (this.#subscribers.size > 0) return;
+    this.#perform(this.#machine.handle({ type: 'entryGone' }, this.#clock()));
+  }
+
+  /** Performs effects. Resolves when all messages were answered or failed. */
+  async #perform(effects: readonly AgentEffect[]): Promise<void> {
+    const sends = effects.map((effect) => this.#performOne(effect));
+    await Promise.all(sends);
+  }
+
+  async #performOne(effect: AgentEffect): Promise<void> {
+    switch (effect.type) {
+      case 'send':
+        await this.#send(effect.to, effect.message);
+        break;
+      case 'publishItems':
+        effect.items.forEach((item) => this.#noteItem(item));
+        this.#publish({ type: 'items', items: [...effect.items] });
+        break;
+      case 'publishMembers':
+        this.#noteMembers(effect.members);
+        this.#publish({ type: 'members', members: [...effect.members] });
+        break;
+      case 'watch':
+        if (effect.on) this.#startWatch();
+        else this.#stopWatch();
+        break;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  async #send(to: Endpoint, message: PeerMessage): Promise<void> {
+    const client = this.#clients.get(to) ?? new AgentClient(to);
+    this.#clients.set(to, client);
+    const reply = await client.exchange(message);
+    if (reply.isErr()) {
+      this.#log('peerUnreachable', { to, reason: reply.error.message });
+      return;
+    }
+    const event = { type: 'reply', to, reply: reply.value } as const;
+    await this.#perform(this.#machine.handle(event, this.#clock()));
+  }
+
+  #publish(update: AgentUpdate): void {
+    this.#subscribers.forEach((stream) => stream.push(update));
+  }
+
+  #noteMembers(members: readonly MemberRecord[]): void {
+    const live = members.map((member) => `${member.id} ${member.phase}`).sort();
+    if (live.join() === this.#loggedMembers) return;
+    this.#loggedMembers = live.join();
+    this.#log('membersChanged', { live });
+  }
+
+  #noteItem(item: ReplicaItem): void {
+    const path = settingsPathOf(item.key);
+    if (path === undefined) {
+      const crash = crashOfItem(item);
+      if (crash !== undefined && crash.crashes === 0) {
+        this.#log('contentReleased', { fingerprint: crash.fingerprint });
+      }
+      return;
+    }
+    const taken = this.#view.apply(item);
+    this.#log(taken ? 'settingsInForce' : 'settingsRejected', { path, version: item.version });
+  }
+
+  #startWatch(): void {
+    const controller = new AbortController();
+    this.#watch = controller;
+    this.#log('watchStarted');
+    this.#watchLoop(controller.signal);
+  }
+
+  #stopWatch(): void {
+    this.#watch?.abort();
+    this.#watch = undefined;
+    this.#log('watchEnded');
+  }
+
+  async #watchLoop(signal: AbortSignal): Promise<void> {
+    let since = 0;
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!signal.aborted) {
+      const changes = await this.#platform.watch([SETTINGS_ROOT, VMS_ROOT], since, signal);
+      if (signal.aborted) return;
+      if (changes.isErr()) {
+        this.#log('watchFailed', { backoffMs });
+
+        await pause(Math.random() * backoffMs, signal);
+        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+      } else {
+        backoffMs = FIRST_BACKOFF_MS;
+        since = changes.value.version;
+        const items = changes.value.objects.flatMap((object) => itemOf(object) ?? []);
+        this.#perform(this.#machine.handle({ type: 'stored', items }, this.#clock()));
+      }
+    }
+  }
+
+  async #operate(req: OperatorRequest): Promise<OperatorReply> {
+    switch (req.type) {
+      case 'apply':
+        return this.#apply(req);
+      case 'get':
+        return this.#get(req.path);
+      case 'release':
+        return this.#release(req);
+      case 'status':
+        return this.#status();
+      default:
+        return req satisfies never;
+    }
+  }
+
+  async #apply(req: Extract<OperatorRequest, { type: 'apply' }>): Promise<OperatorReply> {
+    const refuse = (code: Extract<OperatorReply, { type: 'refused' }>['code']): OperatorReply => {
+      this.#log('changeRefused', { path: req.path, who: req.who, code, changeId: req.changeId });
+      return { type: 'refused', code, changeId: req.changeId };
+    };
+    const team = authorize(this.#view.fleet, req.path, req.key);
+    if (team.isErr()) return refuse(team.error);
+    const settings = checkSettings(req.path, req.settings, {
+      fleet: this.#view.fleet,
+      services: this.#view.servicePaths,
+    });
+    if (settings.isErr()) {
+      return {
+        type: 'invalid',
+        issues: settings.error.map((issue) => ({ ...issue, path: [...issue.path] })),
+      };
+    }
+    const written = await writeSettings(this.#platform, {
+      path: req.path,
+      settings: settings.value,
+      changeId: req.changeId,
+      who: `${team.value}:${req.who}`,
+      atMs: this.#clock().wallMs,
+      ifVersion: req.ifVersion,
+    });
+    if (written.isErr()) {
+      const { error } = written;
+      if (error.code !== 'conflict') return refuse(error.code);
+      this.#log('changeRefused', { path: req.path, who: req.who, code: error.code });
+      return { type: 'conflict', version: error.version, differences: [...error.differences] };
+    }
+    const { version, body } = written.value;
+    this.#log('changeAccepted', { path: req.path, who: req.who, version, changeId: req.changeId });
+    const item = { key: settingsKey(req.path), version, body };
+    const told = this.#perform(
+      this.#machine.handle({ type: 'stored', items: [item] }, this.#clock()),
+    );
+    await Promise.race([told, pause(REPORT_WAIT_MS)]);
+    return { type: 'applied', version, changeId: req.changeId };
+  }
+
+  #get(path: SettingsPath): OperatorReply {
+    const item = this.#machine.item(settingsKey(path));
+    const stored = StoredSettings.safeParse(item?.body);
+    if (item === undefined || !stored.success) return { type: 'absent', path };
+    const { settings, history } = stored.data;
+    return { type: 'object', path, version: item.version, settings, history };
+  }
+
+  async #release(req: Extract<OperatorRequest, { type: 'release' }>): Promise<OperatorReply> {
+    const known = this.#machine
+      .items()
+      .flatMap((item) => crashOfItem(item) ?? [])
+      .find((record) => record.fingerprint === req.fingerprint);
+    if (known === undefined) return { type: 'refused', code: 'not_known' };
+    const { wallMs } = this.#clock();
+    const item = crashItem({ ...known, crashes: 0, untilMs: wallMs }, wallMs);
+    await this.#perform(this.#machine.handle({ type: 'stored', items: [item] }, this.#clock()));
+    this.#log('contentReleased', { fingerprint: req.fingerprint, who: req.who });
+    return { type: 'applied', version: item.version, changeId: req.fingerprint };
+  }
+
+  #status(): OperatorReply {
+    const settings = this.#machine.items().flatMap((item) => {
+      const path = settingsPathOf(item.key);
+      return path === undefined ? [] : [{ path, version: item.version }];
+    });
+    const suspects = this.#machine
+      .items()
+      .flatMap((item) => crashOfItem(item) ?? [])
+      .filter((record) => record.crashes > 0 && record.untilMs > this.#clock().wallMs)
+      .map(({ fingerprint, crashes }) => ({ fingerprint, crashes }));
+    const members = [...this.#machine.members(this.#clock().nowMs)];
+    return { type: 'status', self: this.#machine.self, members, settings, suspects };
+  }
+}
+
+/** The replicated item of an object of the platform, or undefined for other objects. */
+function itemOf(object: PlatformObject): ReplicaItem | undefined {
+  const { version, body } = object;
+  if (object.path.startsWith(VMS_ROOT)) {
+    return { key: vmKey(object.path.slice(VMS_ROOT.length)), version, body };
+  }
+  const path = SettingsPath.safeParse(object.path.slice(SETTINGS_ROOT.length));
+  return path.success ? { key: settingsKey(path.data), version, body } : undefined;
+}
--- /dev/null
+++ b/src/transport/headroom.ts
@@ -0,0 +1,54 @@
+/** Asks other entry VMs for headroom, over their peer listener. */
+import got from 'got';
+import { z } from 'zod';
+import type { EntryEffect, EntryEvent } from '../coordination/index.js';
+import { EntryVmId, FailureDomainId, ServiceName } from '../state/index.js';
+import type { Clock } from './clocks.js';
+
+/** The body of `POST /v1/grants`. */
+export const GrantRequest = z.strictObject({
+  from: EntryVmId,
+  service: ServiceName,
+  domain: FailureDomainId,
+  want: z.number().int().min(0).max(10_000),
+});
+export type GrantRequest = z.infer<typeof GrantRequest>;
+
+/** The answer to it. */
+export const GrantReply = z.object({ slots: z.number().int().nonnegative() });
+export type GrantReply = z.infer<typeof GrantReply>;
+
+const GRANT_TIMEOUT_MS = 1_000;
+
+export class GrantClient {
+  readonly #self: EntryVmId;
+
+  readonly #clock: Clock;
+
+  constructor(self: EntryVmId, clock: Clock) {
+    this.#self = self;
+    this.#clock = clock;
+  }
+
+  /** Asks, and tells what was granted. Without an answer there is no grant. */
+  async ask(
+    effect: Extract<EntryEffect, { type: 'askGrant' }>,
+    feed: (event: EntryEvent) => void,
+  ): Promise<void> {
+    const { to, service, domain, want } = effect;
+    const askedMs = this.#clock().nowMs;
+    const json: GrantRequest = { from: this.#self, service, domain, want };
+    try {
+      const res = await got.post(`http://${to.peerAddress}/v1/grants`, {
+        json,
+        responseType: 'json',
+        retry: { limit: 0 },
+        timeout: { request: GRANT_TIMEOUT_MS },
+      });
+      const { slots } = GrantReply.parse(res.body);
+      feed({ type: 'grantReceived', to: to.id, service, slots, askedMs });
+    } catch {
+      feed({ type: 'grantReceived', to: to.id, service, slots: 0, askedMs });
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/index.ts
@@ -0,0 +1,9 @@
+/** Sockets, timers and HTTP: turns the decisions' effects into I/O. */
+export * from './agents.js';
+export * from './callers.js';
+export * from './clocks.js';
+export * from './entries.js';
+export * from './logs.js';
+export * from './metrics.js';
+export * from './peers.js';
+export * from './platforms.js';
--- /dev/null
+++ b/src/transport/logs.ts
@@ -0,0 +1,84 @@
+/** Structured logs: one JSON object a line, each of a numbered event. docs/LOG-EVENTS.md lists them. */
+import log from 'loglevel';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+interface LogEvent {
+  readonly id: number;
+  readonly level: LogLevel;
+  readonly text: string;
+}
+
+/** All events, by name. Numbers are never used again for something else. */
+export const LOG_EVENTS = {
+  processStarted: { id: 101, level: 'info', text: 'process started' },
+  processStopping: { id: 102, level: 'info', text: 'process stops taking new work' },
+  processStopped: { id: 103, level: 'info', text: 'process stopped' },
+  invariantBroken: { id: 104, level: 'error', text: 'invariant broken, process ends' },
+  settingsInForce: { id: 201, level: 'info', text: 'settings version in force' },
+  settingsRejected: {
+    id: 202,
+    level: 'error',
+    text: 'settings version failed its checks, not taken',
+  },
+  watchStarted: { id: 203, level: 'info', text: 'watch of the platform started' },
+  watchFailed: { id: 204, level: 'warn', text: 'watch of the platform failed, will try again' },
+  watchEnded: { id: 205, level: 'info', text: 'watch of the platform ended, another agent has it' },
+  membersChanged: { id: 301, level: 'info', text: 'live entry VMs changed' },
+  peerUnreachable: { id: 302, level: 'debug', text: 'another agent did not answer' },
+  agentLost: {
+    id: 303,
+    level: 'warn',
+    text: 'no connection to the agent, going on with what is known',
+  },
+  agentFound: { id: 304, level: 'info', text: 'connected to the agent' },
+  requestUnknown: { id: 401, level: 'warn', text: 'caller told that the outcome is unknown' },
+  requestNotRun: { id: 402, level: 'debug', text: 'caller told that the request was not run' },
+  backendCrashed: { id: 501, level: 'error', text: 'backend server crashed while running work' },
+  contentReleased: { id: 502, level: 'info', text: 'content is no longer suspected' },
+  backendLeaving: { id: 503, level: 'info', text: 'backend server said that it is leaving' },
+  backendReturned: { id: 504, level: 'info', text: 'backend server said that it is serving' },
+  changeAccepted: { id: 601, level: 'info', text: 'change of settings accepted' },
+  changeRefused: { id: 602, level: 'warn', text: 'change of settings refused' },
+} as const satisfies Record<string, LogEvent>;
+
+export type LogEventName = keyof typeof LOG_EVENTS;
+
+/** Details of an event: flat, JSON. */
+export type LogDetails = Readonly<Record<string, unknown>>;
+
+/** Writes events of one process. */
+export type Logger = (event: LogEventName, details?: LogDetails) => void;
+
+/** Options of a logger. */
+export interface LoggerOptions {
+  readonly level?: LogLevel;
+  /** Takes each line. @default standard output */
+  readonly write?: (line: string) => void;
+  readonly wallMs?: () => number;
+}
+
+/**
+ * Makes a logger.
+ *
+ * @param process - the program's name and its VM, in each line.
+ */
+export function createLogger(
+  process: { readonly program: string; readonly entryVm: string },
+  options: LoggerOptions = {},
+): Logger {
+  const {
+    level = 'info',
+    write = (line) => globalThis.console.log(line),
+    wallMs = Date.now,
+  } = options;
+  const logger = log.getLogger(`${process.program}/${process.entryVm}`);
+  logger.methodFactory = () => (line: string) => write(line);
+  logger.setLevel(level, false);
+  return (event, details = {}) => {
+    const { id, level: eventLevel, text } = LOG_EVENTS[event];
+    const at = new Date(wallMs()).toISOString();
+    const line = { at, event: id, level: eventLevel, text, ...process, ...details };
+    logger[eventLevel](JSON.stringify(line));
+  };
+}
