--- a/src/coordination/claims.ts
+++ b/src/coordination/claims.ts
@@ -12,6 +12,7 @@
   FailureDomainId,
   MemberRecord,
   RegionId,
+  ServiceName,
   ServiceSettings,
 } from '../state/index.js';
 import type { ClaimedServer } from './dispatchers.js';
@@ -26,6 +27,18 @@
   has(id: BackendServerId): boolean;
 }
 
+/** Entry VMs that may dispatch in a failure domain. */
+interface Candidates {
+  readonly ids: readonly EntryVmId[];
+  /** All ids in one text, to compare. */
+  readonly text: string;
+}
+
+interface KnownOwner {
+  readonly candidates: string;
+  readonly owner: EntryVmId | undefined;
+}
+
 export class ServerClaims {
   readonly #self: EntryVmId;
 
@@ -33,6 +46,8 @@
 
   readonly #settleMs: number;
 
+  readonly #owners = new Map<string, KnownOwner>();
+
   /** When each claim was first made. */
   readonly #claimedMs = new Map<BackendServerId, number>();
 
@@ -70,9 +85,12 @@
     signs: LeavingSigns,
     nowMs: number,
   ): readonly ClaimedServer[] {
+    const candidates = new Map<FailureDomainId, Candidates>();
     return service.backendServers.flatMap((settings) => {
-      const candidates = this.#candidates(settings.failureDomain, members);
-      if (rendezvousOwner(`${service.name}/${settings.id}`, candidates) !== this.#self) {
+      const domain = settings.failureDomain;
+      const known = candidates.get(domain) ?? this.#candidates(domain, members);
+      candidates.set(domain, known);
+      if (this.#owner(service.name, settings.id, known) !== this.#self) {
         this.#claimedMs.delete(settings.id);
         return [];
       }
@@ -86,14 +104,26 @@
     this.#claimedMs.forEach((_, id) => this.#claimedMs.set(id, nowMs));
   }
 
-  #candidates(domain: FailureDomainId, members: readonly MemberRecord[]): readonly EntryVmId[] {
+  /** The one candidate that dispatches to a server, worked out once for each set of candidates. */
+  #owner(service: ServiceName, id: BackendServerId, candidates: Candidates): EntryVmId | undefined {
+    const key = `${service}/${id}`;
+    const known = this.#owners.get(key);
+    if (known?.candidates === candidates.text) return known.owner;
+    const owner = rendezvousOwner(key, candidates.ids);
+    this.#owners.set(key, { candidates: candidates.text, owner });
+    return owner;
+  }
+
+  #candidates(domain: FailureDomainId, members: readonly MemberRecord[]): Candidates {
     const serving = members.filter((member) => member.phase === 'serving');
     const inDomain = serving.filter((member) => member.failureDomain === domain);
-    if (inDomain.length > 0) return inDomain.map((member) => member.id);
     const region = this.#regionOf(domain);
-    return serving
-      .filter((member) => region !== undefined && this.#regionOf(member.failureDomain) === region)
-      .map((member) => member.id);
+    const chosen =
+      inDomain.length > 0
+        ? inDomain
+        : serving.filter((each) => region && this.#regionOf(each.failureDomain) === region);
+    const ids = chosen.map((member) => member.id);
+    return { ids, text: ids.join() };
   }
 
   #phase(
--- a/src/coordination/dispatchers.ts
+++ b/src/coordination/dispatchers.ts
@@ -358,8 +358,11 @@
     const ahead = above.reduce((sum, each) => sum + this.queued(each), 0);
     const own = this.#queues[work.rank].ahead(work.caller);
     const aboveUse = above.reduce((sum, each) => sum + this.#inUse[each], 0);
-    const usable = Math.max(this.#floorSlots(work.rank, slots), slots - aboveUse, 1);
-    return ((ahead + own) * meanMs) / usable + meanMs * LEAST_TIME_LEFT;
+    const shared = (ahead + own) / Math.max(slots - aboveUse, 1);
+    // Its floor serves a rank whatever waits above it.
+    const floor = this.#floorSlots(work.rank, slots);
+    const floored = floor === 0 ? Infinity : own / floor;
+    return Math.min(shared, floored) * meanMs + meanMs * LEAST_TIME_LEFT;
   }
 
   #floorSlots(rank: Rank, slots: number): number {
--- a/src/coordination/entries.ts
+++ b/src/coordination/entries.ts
@@ -282,6 +282,7 @@
       if (state.open) {
         state.open = false;
         const told = fail(state.call.ticket, unknown('deadline'));
+        if (state.stage === 'waiting') return [told, ...this.#onCancelled(state.call.ticket)];
         return [told, ...this.#abandon(state)];
       }
       if (state.deadlineMs + LINGER_MS > nowMs) return [];
@@ -596,7 +597,16 @@
 
   #answered(state: CallState, answer: KeptAnswer | undefined): readonly EntryEffect[] {
     this.#forget(state);
-    return state.ownedId === undefined ? [] : this.#owned.answered(state.ownedId, answer);
+    if (state.ownedId === undefined) return [];
+    return this.#releaseWaiters(this.#owned.answered(state.ownedId, answer));
+  }
+
+  /** Forgets the later sendings of a request that were told its end. */
+  #releaseWaiters(effects: readonly EntryEffect[]): readonly EntryEffect[] {
+    effects.forEach((effect) => {
+      if ('ticket' in effect) this.#calls.delete(effect.ticket);
+    });
+    return effects;
   }
 
   /** Ends a request without an answer. */
@@ -604,8 +614,8 @@
     const failure = state.mayHaveRun ? asUnknown(ending) : ending;
     this.#forget(state);
     const own: readonly EntryEffect[] = state.open ? [fail(state.call.ticket, failure)] : [];
-    const waiting = state.ownedId === undefined ? [] : this.#owned.failed(state.ownedId, failure);
-    return [...own, ...waiting];
+    if (state.ownedId === undefined) return own;
+    return [...own, ...this.#releaseWaiters(this.#owned.failed(state.ownedId, failure))];
   }
 
   #forget(state: CallState): void {
--- a/src/coordination/placements.ts
+++ b/src/coordination/placements.ts
@@ -182,9 +182,9 @@
       services.flatMap((service) => service.backendServers.map((server) => server.id)),
     );
     this.#claims.retain(known);
-    this.#rebuildIndex(nowMs);
     this.#configureLinks(nowMs);
     const effects = services.flatMap((service) => this.#configureService(service, nowMs));
+    this.#rebuildIndex(nowMs);
     return [...effects, ...this.#retireDispatchers(nowMs)];
   }
 
@@ -270,7 +270,11 @@
   }
 
   #rebuildIndex(nowMs: number): void {
-    const usable = this.#members.filter((each) => (this.#suspects.get(each.id) ?? 0) <= nowMs);
+    const usable = this.#members
+      .filter((each) => (this.#suspects.get(each.id) ?? 0) <= nowMs)
+      .map((each) =>
+        each.id === this.#self.id ? { ...each, dispatching: [...this.dispatching()] } : each,
+      );
     this.#index = new DispatcherIndex(this.view.services, usable);
   }
 }
