Keep versions going upwards at every entry; fuzz with time between commands

Trace: an entry that woke from a freeze took the newer settings first and then an older version, and put it in force. Ruled out: claims and slots, which obeyed the settings they were given.

Change: an entry takes no item older than the one it holds; suspicions of crashes are versioned by the state machine above the held one, so a wall clock that jumps back can't hide them. A request that was refused by a server while it was to run alone is put aside again instead of failed; a link that the settings do not name no longer eats the whole deadline of a forwarded request (both seen in faults.test.ts). Fuzzing: time passes after each command, callers insist, whole domains lose answers.

--- a/src/coordination/calls.ts
+++ b/src/coordination/calls.ts
@@ -14,7 +14,6 @@
   RequestId,
   ServiceName,
 } from '../state/index.js';
-import type { CrashRecord } from './crashes.js';
 import type { RunId, RunResult, Ticket } from './dispatchers.js';
 import type { DomainShare } from './shifts.js';
 
@@ -148,7 +147,7 @@
       readonly want: number;
     }
   | { readonly type: 'grant'; readonly askId: string; readonly slots: number }
-  | { readonly type: 'reportCrashes'; readonly records: readonly CrashRecord[] };
+  | { readonly type: 'reportCrashes'; readonly items: readonly ReplicaItem[] };
 
 /** A split in force, as entry VMs tell each other. */
 export interface SplitReport {
--- a/src/coordination/dispatchers.ts
+++ b/src/coordination/dispatchers.ts
@@ -494,16 +494,17 @@
     if (entry.cancelled) return [this.#settle(entry, failure)];
     if (this.#mayIsolate(entry, result, nowMs)) return [...(this.#screen(entry) ?? [])];
     if (!this.#mayRepeat(entry, result, nowMs)) return [this.#settle(entry, failure)];
-    this.#queues[entry.rank].unshift(entry);
+    if (entry.isolate) this.#isolated.push(entry);
+    else this.#queues[entry.rank].unshift(entry);
     return [];
   }
 
   /** Repeats what surely did not run, and idempotent work within the budget. */
   #mayRepeat(entry: Entry, result: RunResult, nowMs: number): boolean {
-    if (!entry.replayable || entry.isolate) return false;
+    if (!entry.replayable) return false;
     if (entry.attempts >= MAX_ATTEMPTS || entry.deadlineMs <= nowMs) return false;
     if (result.type === 'refused' || result.type === 'unreachable') return true;
-    if (!entry.idempotent) return false;
+    if (!entry.idempotent || entry.isolate) return false;
     if (result.type === 'truncated' && result.relayed) return false;
     if (result.type === 'lost' && result.crashed) return false;
     return this.#retries.spend();
--- a/src/coordination/entries.ts
+++ b/src/coordination/entries.ts
@@ -15,6 +15,7 @@
   NotRunCode,
   RecordLimits,
   ReplicaItem,
+  ReplicaKey,
   RequestId,
   SettingsView,
 } from '../state/index.js';
@@ -29,7 +30,7 @@
 import { CrashGuard } from './crashes.js';
 import type { CrashRecord } from './crashes.js';
 import type { Dispatcher, DispatchEffect, RunId, RunResult, Ticket, Work } from './dispatchers.js';
-import { crashOfItem } from './items.js';
+import { crashKey, crashOfItem } from './items.js';
 import { OwnedRequests } from './owned.js';
 import { decideOwner } from './owners.js';
 import { Placement } from './placements.js';
@@ -87,6 +88,9 @@
 /** Time kept back for the way between two entry VMs, in milliseconds. */
 const HOP_MARGIN_MS = 5;
 
+/** Most of the time left that is kept back for the way. */
+const MAX_MARGIN_SHARE = 0.25;
+
 /** Time for which an answer is awaited after its caller was told `unknown`, in milliseconds. */
 const LINGER_MS = 30_000;
 
@@ -123,6 +127,9 @@
 
   readonly #calls = new Map<Ticket, CallState>();
 
+  /** Versions of the items held, so that none goes back. */
+  readonly #versions = new Map<ReplicaKey, number>();
+
   /** Which dispatcher started a run. */
   readonly #runs = new Map<RunId, Dispatcher>();
 
@@ -252,7 +259,10 @@
     return this.#apply(this.#placement.configure(this.#instant.nowMs));
   }
 
+  /** Takes an item in unless it is older than the one held: an agent may be behind another. */
   #onItem(item: ReplicaItem): readonly EntryEffect[] {
+    if (item.version <= (this.#versions.get(item.key) ?? 0)) return [];
+    this.#versions.set(item.key, item.version);
     const crash = crashOfItem(item);
     if (crash !== undefined) this.#guard.learn(crash);
     return this.#placement.learn(item) ? this.#configure() : [];
@@ -380,7 +390,9 @@
     order: DispatchOrder | undefined,
   ): EntryEffect {
     const distanceMs = domainDistance(this.view, this.#self.failureDomain, to.failureDomain);
-    const leftMs = state.deadlineMs - this.#instant.nowMs - HOP_MARGIN_MS - 2 * distanceMs;
+    const leftHereMs = state.deadlineMs - this.#instant.nowMs;
+    const marginMs = Math.min(HOP_MARGIN_MS + 2 * distanceMs, leftHereMs * MAX_MARGIN_SHARE);
+    const leftMs = leftHereMs - marginMs;
     return {
       type: 'forward',
       ticket: state.call.ticket,
@@ -551,7 +563,7 @@
     const { wallMs } = this.#instant;
     if (result.type === 'answered' && state !== undefined) {
       const cleared = this.#guard.finished(state.call.fingerprint, wallMs);
-      return cleared === undefined ? [] : [{ type: 'reportCrashes', records: [cleared] }];
+      return cleared === undefined ? [] : [this.#reportCrashes([cleared])];
     }
     if (result.type !== 'lost' || !result.crashed) return [];
     if (this.#countedCrashes.delete(runId)) return [];
@@ -566,7 +578,21 @@
       service?.quarantineMs ?? DEFAULT_QUARANTINE_MS,
       wallMs,
     );
-    return [{ type: 'reportCrashes', records }];
+    return [this.#reportCrashes(records)];
+  }
+
+  /** Tells the other entry VMs, under a version above the one held here whatever the clock says. */
+  #reportCrashes(records: readonly CrashRecord[]): EntryEffect {
+    const items = records.map((record) => {
+      const key = crashKey(record.fingerprint);
+      const version = Math.max(
+        Math.floor(this.#instant.wallMs),
+        (this.#versions.get(key) ?? 0) + 1,
+      );
+      this.#versions.set(key, version);
+      return { key, version, body: record };
+    });
+    return { type: 'reportCrashes', items };
   }
 
   #onForwardFinished(
--- a/src/coordination/items.ts
+++ b/src/coordination/items.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod';
 import { BackendServerId, FailureDomainId, ReplicaKey, ServiceName } from '../state/index.js';
-import type { ReplicaItem } from '../state/index.js';
+import type { Fingerprint, ReplicaItem } from '../state/index.js';
 import type { SplitReport } from './calls.js';
 import { CrashRecord } from './crashes.js';
 
@@ -18,10 +18,9 @@
   split: z.array(z.object({ domain: FailureDomainId, share: z.number().min(0).max(1) })),
 });
 
-/** The item under which a suspicion travels. Versions are wall milliseconds of its last change. */
-export function crashItem(record: CrashRecord, wallMs: number): ReplicaItem {
-  const key = ReplicaKey.parse(`${CRASH_PREFIX}${record.fingerprint}`);
-  return { key, version: Math.floor(wallMs), body: record };
+/** The replica key under which a suspicion travels. */
+export function crashKey(fingerprint: Fingerprint): ReplicaKey {
+  return ReplicaKey.parse(`${CRASH_PREFIX}${fingerprint}`);
 }
 
 /** The suspicion in an item, or undefined for other kinds. */
--- a/src/coordination/tests/fuzzes.ts
+++ b/src/coordination/tests/fuzzes.ts
@@ -21,6 +21,9 @@
 /** Time after a sign of leaving within which new work may still come, in milliseconds. */
 const LEAVING_MS = 3_000;
 
+/** Most time that passes after a command, in milliseconds. */
+const MAX_GAP_MS = 250;
+
 interface SplitSample {
   readonly atMs: number;
   readonly split: readonly DomainShare[];
@@ -124,6 +127,7 @@
     check: () => true,
     run: (_, fuzzed) => {
       act(fuzzed);
+      fuzzed.advance(fuzzed.world.random() * MAX_GAP_MS);
       fuzzed.check();
     },
     toString: () => text,
@@ -149,6 +153,13 @@
   if (asked !== undefined) fuzzed.world.send(fuzzed.vm(vmIndex), asked);
 }
 
+/** Every caller without an answer sends again, as callers do. */
+function insist(fuzzed: Fuzzed, vmIndex: number): void {
+  fuzzed.asked
+    .filter((asked) => asked.told.length > 0 && !asked.told.includes('answered'))
+    .forEach((asked) => fuzzed.world.send(fuzzed.vm(vmIndex), asked));
+}
+
 function drain(fuzzed: Fuzzed, index: number): void {
   const server = fuzzed.server(index);
   const servers = fuzzed.world.service.backendServers as { id: string }[];
@@ -198,6 +209,7 @@
     .map(([request, vm]) =>
       step(`again(${request}, ${vm})`, (each) => sendAgain(each, request, vm)),
     ),
+  index().map((vm) => step(`insist(${vm})`, (each) => insist(each, vm))),
   fc.nat({ max: 800 }).map((ms) => step(`advance(${ms})`, (each) => each.advance(ms))),
   index().map((vm) => step(`replace(${vm})`, (each) => each.world.replace(each.vm(vm)))),
   fc.tuple(index(), fc.nat({ max: 3_000 })).map(([vm, ms]) =>
@@ -240,7 +252,10 @@
   ),
   fc.tuple(index(), fc.boolean()).map(([server, on]) =>
     step(`loseAnswers(${server}, ${on})`, (each) => {
-      each.server(server).losesAnswers = on;
+      const { domain } = each.server(server);
+      each.world.servers
+        .filter((other) => other.domain === domain)
+        .forEach((other) => Object.assign(other, { losesAnswers: on }));
     }),
   ),
   fc.tuple(index(), fc.constantFrom(1, 10, 100)).map(([server, factor]) =>
--- a/src/coordination/tests/worlds.ts
+++ b/src/coordination/tests/worlds.ts
@@ -2,6 +2,7 @@
  * A driver for tests: several entry machines, callers and backend servers joined by one queue of
  * events under a clock of its own. What the oracle needs is counted here, by the driver alone.
  */
+import { createHash } from 'node:crypto';
 import TinyQueue from 'tinyqueue';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
@@ -17,18 +18,9 @@
   SettingsPath,
   settingsKey,
 } from '../../state/index.js';
-import type { Failure, Rank } from '../../state/index.js';
+import type { Failure, Rank, ReplicaItem } from '../../state/index.js';
 import { EntryMachine, formatPrefix } from '../index.js';
-import type {
-  Call,
-  CrashRecord,
-  EntryEffect,
-  EntryEvent,
-  ForwardResult,
-  RunId,
-  Ticket,
-} from '../index.js';
-import { crashItem } from '../items.js';
+import type { Call, EntryEffect, EntryEvent, ForwardResult, RunId, Ticket } from '../index.js';
 
 export const SERVICE = ServiceName.parse('shop');
 
@@ -460,7 +452,7 @@
         this.#askGrant(vm, effect);
         break;
       case 'reportCrashes':
-        this.#spreadCrashes(effect.records);
+        this.#spread(effect.items);
         break;
       case 'probe': {
         const alive = this.servers.some((each) => each.id === effect.server && !each.down);
@@ -474,11 +466,10 @@
     }
   }
 
-  #spreadCrashes(records: readonly CrashRecord[]): void {
-    records.forEach((record) => {
-      const item = crashItem(record, this.instant().wallMs);
-      this.vms.forEach((vm) => this.at(LATENCY_MS, () => this.feed(vm, { type: 'item', item })));
-    });
+  #spread(items: readonly ReplicaItem[]): void {
+    items.forEach((item) =>
+      this.vms.forEach((vm) => this.at(LATENCY_MS, () => this.feed(vm, { type: 'item', item }))),
+    );
   }
 
   #run(vm: Vm, effect: Extract<EntryEffect, { type: 'run' }>): void {
@@ -659,6 +650,5 @@
 }
 
 function fingerprintOf(text: string): Fingerprint {
-  const hex = Buffer.from(text).toString('hex').slice(0, 32).padStart(32, '0');
-  return Fingerprint.parse(hex);
+  return Fingerprint.parse(createHash('sha256').update(text).digest('hex').slice(0, 32));
 }
--- a/src/transport/agents.ts
+++ b/src/transport/agents.ts
@@ -4,7 +4,7 @@
   AgentMachine,
   HEARTBEAT_MS,
   authorize,
-  crashItem,
+  crashKey,
   crashOfItem,
   vmKey,
   writeSettings,
@@ -308,13 +308,12 @@
   }
 
   async #release(req: Extract<OperatorRequest, { type: 'release' }>): Promise<OperatorReply> {
-    const known = this.#machine
-      .items()
-      .flatMap((item) => crashOfItem(item) ?? [])
-      .find((record) => record.fingerprint === req.fingerprint);
-    if (known === undefined) return { type: 'refused', code: 'not_known' };
+    const held = this.#machine.item(crashKey(req.fingerprint));
+    const known = held === undefined ? undefined : crashOfItem(held);
+    if (held === undefined || known === undefined) return { type: 'refused', code: 'not_known' };
     const { wallMs } = this.#clock();
-    const item = crashItem({ ...known, crashes: 0, untilMs: wallMs }, wallMs);
+    const version = Math.max(Math.floor(wallMs), held.version + 1);
+    const item = { ...held, version, body: { ...known, crashes: 0, untilMs: wallMs } };
     await this.#perform(this.#machine.handle({ type: 'stored', items: [item] }, this.#clock()));
     this.#log('contentReleased', { fingerprint: req.fingerprint, who: req.who });
     return { type: 'applied', version: item.version, changeId: req.fingerprint };
--- a/src/transport/entries.ts
+++ b/src/transport/entries.ts
@@ -1,9 +1,8 @@
 /** The entry's task: turns effects of its state machine into I/O, and I/O into events. */
 import { randomBytes } from 'node:crypto';
-import { EntryMachine, crashItem, planLookup, splitItem } from '../coordination/index.js';
+import { EntryMachine, planLookup, splitItem } from '../coordination/index.js';
 import type {
   Call,
-  CrashRecord,
   EntryEffect,
   EntryEvent,
   LookupAnswer,
@@ -264,7 +263,7 @@
       case 'grant':
         break;
       case 'reportCrashes':
-        this.#reportCrashes(effect.records);
+        this.#reportCrashes(effect.items);
         break;
       default:
         effect satisfies never;
@@ -471,12 +470,8 @@
     });
   }
 
-  #reportCrashes(records: readonly CrashRecord[]): void {
-    const { wallMs } = this.#clock();
-    records
-      .filter((record) => record.crashes === 0)
-      .forEach((record) => this.#log('contentReleased', { fingerprint: record.fingerprint }));
-    this.#unreported.push(...records.map((record) => crashItem(record, wallMs)));
+  #reportCrashes(items: readonly ReplicaItem[]): void {
+    this.#unreported.push(...items);
     this.#crashReport = this.#report();
   }
 }
