Ask for member records only when they are new; split the large state machines

Heartbeats carried whole records. Ruled out: digests, under 1 KB/s.

Change: heartbeats carry pulses (id, counter, revision), 48 at most; a record is asked for when its revision is new; two targets in the domain instead of three; the time after which a member is believed dead grows by 50 ms for each known member. Publishing compares revisions, not JSON. Look-ups are planned from an index by domain. entries.ts (708 lines) and dispatchers.ts (590) are split by job.

--- a/src/coordination/agents.ts
+++ b/src/coordination/agents.ts
@@ -8,20 +8,23 @@
  */
 import { z } from 'zod';
 import {
+  EntryVmId,
+  MemberPulse,
   MemberRecord,
   ReplicaItem,
   ReplicaKey,
   ReplicaTable,
   ReplicaVersion,
 } from '../state/index.js';
-import type { Endpoint, EntryVmId } from '../state/index.js';
-import type { Instant } from './entries.js';
+import type { Endpoint } from '../state/index.js';
+import type { Instant } from './callflows.js';
 import { MemberTable } from './members.js';
 import { rendezvousTop } from './rendezvous.js';
 
 /** A message from agent to agent. */
 export const PeerMessage = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('heartbeat'), members: z.array(MemberRecord) }),
+  z.object({ type: z.literal('heartbeat'), pulses: z.array(MemberPulse) }),
+  z.object({ type: z.literal('members'), members: z.array(MemberRecord) }),
   z.object({ type: z.literal('advert'), versions: z.array(ReplicaVersion) }),
   z.object({ type: z.literal('items'), items: z.array(ReplicaItem) }),
   z.object({ type: z.literal('digest'), digest: z.array(z.number()) }),
@@ -33,6 +36,7 @@
 export const PeerReply = z.discriminatedUnion('type', [
   z.object({ type: z.literal('ok') }),
   z.object({ type: z.literal('wanted'), keys: z.array(ReplicaKey) }),
+  z.object({ type: z.literal('wantedMembers'), ids: z.array(EntryVmId) }),
   z.object({
     type: z.literal('versions'),
     digest: z.array(z.number()),
@@ -88,7 +92,7 @@
 const RECONNECT_EVERY = 2;
 
 /** Members of the own domain that get each heartbeat. */
-const DOMAIN_FANOUT = 3;
+const DOMAIN_FANOUT = 2;
 
 /** Agents of other domains that get each heartbeat of a delegate. */
 const REMOTE_FANOUT = 2;
@@ -165,7 +169,10 @@
   receive(message: PeerMessage, instant: Instant): Received {
     switch (message.type) {
       case 'heartbeat':
-        return { reply: OK, effects: this.#onHeartbeat(message.members, instant.nowMs) };
+        return this.#onHeartbeat(message.pulses, instant.nowMs);
+      case 'members':
+        message.members.forEach((member) => this.#members.merge(member, instant.nowMs));
+        return { reply: OK, effects: this.#publishMembers(instant.nowMs) };
       case 'advert':
         return { reply: { type: 'wanted', keys: this.#lacking(message.versions) }, effects: [] };
       case 'items':
@@ -193,7 +200,7 @@
     this.#members.expire(nowMs);
     const heartbeat: PeerMessage = {
       type: 'heartbeat',
-      members: [...this.#members.freshest(nowMs)],
+      pulses: this.#members.freshest(nowMs),
     };
     const domainPeers = this.#domainPeers(nowMs);
     const remotePeers = this.#isOneOf('delegate', DELEGATES, nowMs) ? this.#remotePeers(nowMs) : [];
@@ -230,9 +237,10 @@
     return [{ type: 'watch', on }];
   }
 
-  #onHeartbeat(members: readonly MemberRecord[], nowMs: number): readonly AgentEffect[] {
-    const changed = members.filter((member) => this.#members.merge(member, nowMs));
-    return changed.length === 0 ? [] : this.#publishMembers(nowMs);
+  #onHeartbeat(pulses: readonly MemberPulse[], nowMs: number): Received {
+    const wanted = pulses.filter((pulse) => this.#members.pulse(pulse, nowMs));
+    const ids = wanted.map((pulse) => pulse.id);
+    return { reply: { type: 'wantedMembers', ids }, effects: [] };
   }
 
   #onReply(to: Endpoint, reply: PeerReply, instant: Instant): readonly AgentEffect[] {
@@ -241,6 +249,8 @@
         return [];
       case 'wanted':
         return this.#sendItems(to, this.#held(reply.keys));
+      case 'wantedMembers':
+        return this.#sendMembers(to, reply.ids);
       case 'versions': {
         const newer = this.#replicas.newerThan(reply.versions, reply.digest);
         const keys = this.#lacking(reply.versions);
@@ -293,10 +303,17 @@
     return [{ type: 'send', to, message: { type: 'items', items: [...items] } }];
   }
 
+  #sendMembers(to: Endpoint, ids: readonly EntryVmId[]): readonly AgentEffect[] {
+    const members = this.#members.records(ids);
+    return members.length === 0
+      ? []
+      : [{ type: 'send', to, message: { type: 'members', members } }];
+  }
+
   /** Tells the entry who is live, when that or anything but heartbeats has changed. */
   #publishMembers(nowMs: number): readonly AgentEffect[] {
     const members = this.#members.live(nowMs);
-    const text = JSON.stringify(members.map((member) => ({ ...member, heartbeat: 0 })));
+    const text = members.map(({ id, revision }) => `${id}@${revision}`).join();
     if (text === this.#publishedMembers) return [];
     this.#publishedMembers = text;
     return [{ type: 'publishMembers', members }];
--- a/src/coordination/calls.ts
+++ b/src/coordination/calls.ts
@@ -14,7 +14,7 @@
   RequestId,
   ServiceName,
 } from '../state/index.js';
-import type { RunId, RunResult, Ticket } from './dispatchers.js';
+import type { RunId, RunResult, Ticket } from './works.js';
 import type { DomainShare } from './shifts.js';
 
 /** A request as it arrived, without its body. */
--- a/src/coordination/claims.ts
+++ b/src/coordination/claims.ts
@@ -15,7 +15,7 @@
   ServiceName,
   ServiceSettings,
 } from '../state/index.js';
-import type { ClaimedServer } from './dispatchers.js';
+import type { ClaimedServer } from './works.js';
 import { rendezvousOwner } from './rendezvous.js';
 import type { ServerPhase } from './slots.js';
 
--- a/src/coordination/dispatchers.ts
+++ b/src/coordination/dispatchers.ts
@@ -5,11 +5,9 @@
  * urgent rank goes first; lower ranks have a floor that they always get and a ceiling that they
  * never pass, so some slots are never held by long work. Pure: time comes with each call.
  */
-import { FairQueue, RANKS, asUnknown, notRun, unknown } from '../state/index.js';
+import { FairQueue, RANKS, asUnknown, notRun } from '../state/index.js';
 import type {
   BackendServerId,
-  BackendServerSettings,
-  CallerId,
   Failure,
   Fingerprint,
   NotRunCode,
@@ -20,60 +18,12 @@
 import { ShareBudget } from './budgets.js';
 import type { CrashVerdict } from './crashes.js';
 import { RunTimes } from './runtimes.js';
-import { ServerSlots } from './slots.js';
-import type { ServerPhase } from './slots.js';
-
-/** Names a request inside one entry process. */
-export type Ticket = string & { readonly Ticket: unique symbol };
-
-/** Names one run of a request on a backend server. */
-export type RunId = string & { readonly RunId: unique symbol };
-
-/** A request that may be queued and run. */
-export interface Work {
-  readonly ticket: Ticket;
-  readonly caller: CallerId;
-  readonly rank: Rank;
-  readonly idempotent: boolean;
-  readonly fingerprint: Fingerprint;
-  /** Whether the body is kept whole, so that the request can be sent again. */
-  readonly replayable: boolean;
-  /** Monotonic, in milliseconds. */
-  readonly deadlineMs: number;
-}
-
-/** How a run on a backend server ended. */
-export type RunResult =
-  | { readonly type: 'answered' }
-  /** Refused before running, in the backend server's protocol. */
-  | { readonly type: 'refused'; readonly retryAfterMs: number }
-  /** No connection, so no byte was sent. */
-  | { readonly type: 'unreachable' }
-  /** The connection was lost after bytes were sent. */
-  | { readonly type: 'lost'; readonly crashed: boolean }
-  /** No progress on this connection while the server answers on others. */
-  | { readonly type: 'silent' }
-  /** The answer ended early; part of it may have reached the caller. */
-  | { readonly type: 'truncated'; readonly relayed: boolean }
-  /** Stopped from here. */
-  | { readonly type: 'stopped' };
-
-export type DispatchEffect =
-  | {
-      readonly type: 'run';
-      readonly ticket: Ticket;
-      readonly runId: RunId;
-      readonly server: BackendServerId;
-    }
-  | { readonly type: 'stopRun'; readonly runId: RunId }
-  | { readonly type: 'probe'; readonly runId: RunId; readonly server: BackendServerId }
-  | { readonly type: 'fail'; readonly ticket: Ticket; readonly failure: Failure };
-
-/** A server that this entry VM has a claim on. */
-export interface ClaimedServer {
-  readonly settings: BackendServerSettings;
-  readonly phase: ServerPhase;
-}
+import { ServerSet } from './servers.js';
+import type { ServerSlots } from './slots.js';
+import { floorSlots, nextRank, underCeiling } from './turns.js';
+import type { RankLoads } from './turns.js';
+import { failureOf, heldUntil, mayHaveRun } from './works.js';
+import type { ClaimedServer, DispatchEffect, RunId, RunResult, Ticket, Work } from './works.js';
 
 /** A request and the run it has now. */
 export interface RunningWork {
@@ -105,9 +55,6 @@
 /** Times a request that never ran is put on another server. */
 const MAX_ATTEMPTS = 4;
 
-/** Time after which a stopped run has freed its slot on the server, in milliseconds. */
-const STOP_SETTLE_MS = 20;
-
 /** Most retries that may be saved up. */
 const RETRY_BURST = 10;
 
@@ -136,7 +83,7 @@
 
   readonly #verdict: (fingerprint: Fingerprint) => CrashVerdict;
 
-  readonly #servers = new Map<BackendServerId, ServerSlots>();
+  readonly #servers = new ServerSet();
 
   readonly #queues: Readonly<Record<Rank, FairQueue<Entry>>> = {
     urgent: new FairQueue<Entry>(),
@@ -172,7 +119,7 @@
 
   /** Slots open now. */
   slots(nowMs: number): number {
-    return [...this.#servers.values()].reduce((sum, server) => sum + server.open(nowMs), 0);
+    return this.#servers.open(nowMs);
   }
 
   /** Runs under way. */
@@ -190,7 +137,7 @@
 
   /** Servers that still have work of this dispatcher. */
   busyServers(): readonly BackendServerId[] {
-    return [...this.#servers.values()].filter((each) => each.runs > 0).map((each) => each.id);
+    return this.#servers.busy();
   }
 
   /** The runs on one run's server, itself included. */
@@ -208,18 +155,7 @@
     nowMs: number,
   ): readonly DispatchEffect[] {
     this.#service = service;
-    const ids = new Set(claimed.map((each) => each.settings.id));
-    this.#servers.forEach((server) => {
-      if (ids.has(server.id)) return;
-      if (server.runs === 0) this.#servers.delete(server.id);
-      else server.update(server.settings, 'released', service.rampMs, nowMs);
-    });
-    claimed.forEach(({ settings, phase }) => {
-      const server =
-        this.#servers.get(settings.id) ?? new ServerSlots(settings, service.rampMs, nowMs);
-      this.#servers.set(settings.id, server);
-      server.update(settings, phase, service.rampMs, nowMs);
-    });
+    this.#servers.configure(claimed, service.rampMs, nowMs);
     return this.#fill(nowMs);
   }
 
@@ -360,41 +296,26 @@
     const aboveUse = above.reduce((sum, each) => sum + this.#inUse[each], 0);
     const shared = (ahead + own) / Math.max(slots - aboveUse, 1);
     // Its floor serves a rank whatever waits above it.
-    const floor = this.#floorSlots(work.rank, slots);
+    const floor = floorSlots(this.#service, work.rank, slots);
     const floored = floor === 0 ? Infinity : own / floor;
     return Math.min(shared, floored) * meanMs + meanMs * LEAST_TIME_LEFT;
   }
 
-  #floorSlots(rank: Rank, slots: number): number {
-    return rank === 'urgent' ? 0 : Math.ceil(slots * this.#service.floors[rank]);
-  }
-
-  /** Whether a rank stays under its ceiling with one more run. Ranks below count as well. */
-  #underCeiling(rank: Rank, slots: number): boolean {
-    const { ceilings } = this.#service;
-    const { interactive, bulk } = this.#inUse;
-    const most = (share: number) => Math.max(1, Math.floor(slots * share));
-    if (rank === 'urgent') return true;
-    const lowerUse = interactive + bulk;
-    if (lowerUse >= Math.max(most(ceilings.interactive), most(ceilings.bulk))) return false;
-    return rank === 'interactive' || bulk < most(ceilings.bulk);
-  }
-
-  /** The rank whose turn it is, or undefined when none may start. */
-  #nextRank(slots: number): Rank | undefined {
-    const waiting = RANKS.filter((rank) => this.queued(rank) > 0);
-    const owed = waiting.find(
-      (rank) => rank !== 'urgent' && this.#inUse[rank] < this.#floorSlots(rank, slots),
-    );
-    return owed ?? waiting.find((rank) => this.#underCeiling(rank, slots));
+  #rankLoads(): RankLoads {
+    return {
+      urgent: { queued: this.queued('urgent'), inUse: this.#inUse.urgent },
+      interactive: { queued: this.queued('interactive'), inUse: this.#inUse.interactive },
+      bulk: { queued: this.queued('bulk'), inUse: this.#inUse.bulk },
+    };
   }
 
   #fill(nowMs: number): DispatchEffect[] {
     const effects = this.#startIsolated(nowMs);
     const slots = this.slots(nowMs);
     for (;;) {
-      const server = this.#bestServer(nowMs);
-      const rank = server === undefined ? undefined : this.#nextRank(slots);
+      const server = this.#servers.best(nowMs);
+      const rank =
+        server === undefined ? undefined : nextRank(this.#service, this.#rankLoads(), slots);
       if (server === undefined || rank === undefined) return effects;
       const entry = this.#queues[rank].shift();
       if (entry === undefined) return effects;
@@ -406,20 +327,6 @@
     }
   }
 
-  /** The server where one more run should end first. */
-  #bestServer(nowMs: number, except?: ServerSlots): ServerSlots | undefined {
-    let best: ServerSlots | undefined;
-    let bestCost = Infinity;
-    this.#servers.forEach((server) => {
-      if (server === except || server.free(nowMs) === 0) return;
-      const cost = ((server.used(nowMs) + 1) / server.open(nowMs)) * server.slowness;
-      if (cost >= bestCost) return;
-      best = server;
-      bestCost = cost;
-    });
-    return best;
-  }
-
   /** Starts suspected content where a server is empty, and keeps other work off that server. */
   #startIsolated(nowMs: number): DispatchEffect[] {
     const started: DispatchEffect[] = [];
@@ -428,9 +335,7 @@
         (run) => run.entry.fingerprint === entry.fingerprint,
       );
       if (same) return true;
-      const server = [...this.#servers.values()].find(
-        (each) => each.free(nowMs) > 0 && each.used(nowMs) === 0,
-      );
+      const server = this.#servers.empty(nowMs);
       if (server === undefined) return true;
       const effect = this.#start(entry, server, false, nowMs);
       if (effect.type === 'run') server.exclusiveFor = effect.runId;
@@ -469,7 +374,7 @@
     run.entry.runs.delete(run);
     if (mayHaveRun(result)) run.entry.mayHaveRun = true;
     this.#inUse[run.entry.rank] -= 1;
-    run.server.end(run.runId, heldUntil(run, result, nowMs));
+    run.server.end(run.runId, heldUntil(result, run.entry.deadlineMs, nowMs));
     if (result.type === 'answered') {
       const relative = this.#times.record(run.entry.rank, nowMs - run.startedMs);
       run.server.succeeded(relative);
@@ -477,9 +382,7 @@
     if (result.type === 'refused') run.server.refused(result.retryAfterMs, nowMs);
     if (result.type === 'unreachable') run.server.down(nowMs);
     if (result.type === 'lost' && result.crashed) run.server.down(nowMs);
-    if (run.server.phase === 'released' && run.server.runs === 0) {
-      this.#servers.delete(run.server.id);
-    }
+    this.#servers.dropIfDone(run.server);
   }
 
   #afterRun(run: Run, result: RunResult, nowMs: number): DispatchEffect[] {
@@ -490,7 +393,7 @@
     }
     if (entry.runs.size > 0) return [];
     if (!this.#entries.has(entry.ticket)) return [];
-    const failure = failureOf(result, entry);
+    const failure = failureOf(result, entry.cancelled && entry.idempotent);
     if (entry.cancelled) return [this.#settle(entry, failure)];
     if (this.#mayIsolate(entry, result, nowMs)) return [...(this.#screen(entry) ?? [])];
     if (!this.#mayRepeat(entry, result, nowMs)) return [this.#settle(entry, failure)];
@@ -526,8 +429,12 @@
       if (run.begun || run.hedge || entry.runs.size > 1) return;
       const ageMs = nowMs - run.startedMs;
       if (ageMs < Math.max(MIN_HEDGE_MS, this.#times.slow(entry.rank))) return;
-      const server = this.#bestServer(nowMs, run.server);
-      if (server === undefined || !this.#underCeiling(entry.rank, this.slots(nowMs))) return;
+      const server = this.#servers.best(nowMs, run.server);
+      if (
+        server === undefined ||
+        !underCeiling(this.#service, entry.rank, this.#rankLoads(), this.slots(nowMs))
+      )
+        return;
       if (!this.#hedges.spend()) return;
       effects.push(this.#start(entry, server, true, nowMs));
     });
@@ -558,33 +465,3 @@
 function stopOf(run: Run): DispatchEffect {
   return { type: 'stopRun', runId: run.runId };
 }
-
-/** Whether the server may have run a request whose run ended so. */
-function mayHaveRun(result: RunResult): boolean {
-  return result.type !== 'refused' && result.type !== 'unreachable';
-}
-
-/** When the slot of an ended run is sure to be free on the server. */
-function heldUntil(run: Run, result: RunResult, nowMs: number): number {
-  if (result.type === 'stopped') return nowMs + STOP_SETTLE_MS;
-  if (result.type === 'silent') return run.entry.deadlineMs;
-  if (result.type === 'lost' && !result.crashed) return run.entry.deadlineMs;
-  return nowMs;
-}
-
-function failureOf(result: RunResult, entry: Entry): Failure {
-  switch (result.type) {
-    case 'refused':
-      return notRun('overloaded');
-    case 'unreachable':
-      return notRun('unreachable');
-    case 'truncated':
-      return unknown(result.relayed ? 'truncated' : 'connection_lost');
-    case 'lost':
-      return unknown(result.crashed ? 'backend_crashed' : 'connection_lost');
-    case 'stopped':
-      return entry.cancelled && entry.idempotent ? unknown('connection_lost') : unknown('deadline');
-    default:
-      return unknown('connection_lost');
-  }
-}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,10 +1,10 @@
 /** The decisions: pure state machines, to which the clock and the random source are passed in. */
 export * from './agents.js';
 export * from './budgets.js';
+export type * from './callflows.js';
 export * from './calls.js';
 export * from './claims.js';
 export * from './crashes.js';
-export * from './dispatchers.js';
 export * from './entries.js';
 export * from './grants.js';
 export * from './items.js';
@@ -15,3 +15,4 @@
 export * from './rendezvous.js';
 export * from './shifts.js';
 export * from './writes.js';
+export * from './works.js';
--- a/src/coordination/lookups.ts
+++ b/src/coordination/lookups.ts
@@ -9,7 +9,7 @@
   SettingsView,
 } from '../state/index.js';
 import { formatPrefix } from './owners.js';
-import { domainDistance } from './places.js';
+import { byDistance } from './places.js';
 import { rendezvousTop } from './rendezvous.js';
 
 /** Entry VMs named in one answer. */
@@ -33,31 +33,50 @@
 const DEFAULT_TTL_S = 30;
 
 /**
- * Orders entry VMs for one caller: by distance from its home, and within a failure domain by
+ * Orders entry VMs for callers: by distance from the caller's home, and within a failure domain by
  * rendezvous hashing of the caller, which spreads callers evenly and keeps each where it was.
  *
- * @param members - entry VMs believed live.
- * @returns at most `MAX_LOOKUP_TARGETS`, or `no_entry_vm` when none serves.
+ * Members by domain, and domains by distance from a home, are worked out once for each list of
+ * members.
  */
-export function planLookup(
-  view: SettingsView,
-  caller: string,
-  home: FailureDomainId,
-  members: readonly MemberRecord[],
-): Result<LookupAnswer, 'no_entry_vm'> {
-  const serving = members.filter((member) => member.phase === 'serving');
-  const domains = [...new Set(serving.map((member) => member.failureDomain))].sort(
-    (a, b) => domainDistance(view, home, a) - domainDistance(view, home, b),
-  );
-  const targets: LookupTarget[] = [];
-  domains.forEach((domain) => {
-    if (targets.length >= MAX_LOOKUP_TARGETS) return;
-    const inDomain = serving.filter((member) => member.failureDomain === domain);
-    targets.push(...orderInDomain(caller, inDomain));
-  });
-  if (targets.length === 0) return Err('no_entry_vm');
-  const ttlS = view.fleet?.lookupTtlS ?? DEFAULT_TTL_S;
-  return Ok({ targets: targets.slice(0, MAX_LOOKUP_TARGETS), ttlS });
+export class LookupPlanner {
+  readonly #view: SettingsView;
+
+  readonly #byDomain = new Map<FailureDomainId, MemberRecord[]>();
+
+  /** Domains with live entry VMs, the nearest first, by home. */
+  readonly #orders = new Map<FailureDomainId, readonly FailureDomainId[]>();
+
+  /** @param members - entry VMs believed live. */
+  constructor(view: SettingsView, members: readonly MemberRecord[]) {
+    this.#view = view;
+    members
+      .filter((member) => member.phase === 'serving')
+      .forEach((member) => {
+        const known = this.#byDomain.get(member.failureDomain) ?? [];
+        this.#byDomain.set(member.failureDomain, [...known, member]);
+      });
+  }
+
+  /** @returns at most `MAX_LOOKUP_TARGETS`, or `no_entry_vm` when none serves. */
+  plan(caller: string, home: FailureDomainId): Result<LookupAnswer, 'no_entry_vm'> {
+    const targets: LookupTarget[] = [];
+    for (const domain of this.#order(home)) {
+      if (targets.length >= MAX_LOOKUP_TARGETS) break;
+      targets.push(...orderInDomain(caller, this.#byDomain.get(domain) ?? []));
+    }
+    if (targets.length === 0) return Err('no_entry_vm');
+    const ttlS = this.#view.fleet?.lookupTtlS ?? DEFAULT_TTL_S;
+    return Ok({ targets: targets.slice(0, MAX_LOOKUP_TARGETS), ttlS });
+  }
+
+  #order(home: FailureDomainId): readonly FailureDomainId[] {
+    const known = this.#orders.get(home);
+    if (known !== undefined) return known;
+    const order = byDistance(this.#view, home, [...this.#byDomain.keys()]);
+    this.#orders.set(home, order);
+    return order;
+  }
 }
 
 function orderInDomain(caller: string, members: readonly MemberRecord[]): LookupTarget[] {
--- a/src/coordination/members.ts
+++ b/src/coordination/members.ts
@@ -1,20 +1,25 @@
 /**
  * Membership by gossip of heartbeat counters.
  *
- * Each agent raises its own counter and tells a few others the freshest counters it knows. A member
- * whose counter stands still for `failureMs` is believed dead. The platform's list and the
+ * Each agent raises its own counter and tells a few others the freshest counters it knows. The rest
+ * of a record is asked for only when its revision is new. A member whose counter stands still for `failureMs` is believed dead. The platform's list and the
  * configured seeds only say whom to talk to first.
  */
-import type { EntryVmId, MemberRecord } from '../state/index.js';
+import type { EntryVmId, MemberPulse, MemberRecord } from '../state/index.js';
 
-/** Time without a new heartbeat after which a member is believed dead, in milliseconds. */
+/** Least time without a new heartbeat after which a member is believed dead, in milliseconds. */
 export const FAILURE_MS = 3_000;
 
+/** What each known member adds to that time, since news then takes more rounds, in milliseconds. */
+const FAILURE_MS_PER_MEMBER = 50;
+
+const MAX_FAILURE_MS = 12_000;
+
 /** Time after which a dead member is forgotten, in milliseconds. */
 const FORGET_MS = 60_000;
 
-/** Records in one message, so that its size does not grow with the fleet. */
-export const MAX_GOSSIP_RECORDS = 24;
+/** Pulses in one message, so that its size does not grow with the fleet. */
+export const MAX_PULSES = 48;
 
 interface Known {
   readonly record: MemberRecord;
@@ -37,19 +42,45 @@
     return this.#self;
   }
 
-  /** Changes what this agent says of itself, and raises its heartbeat. */
+  /** Raises this agent's heartbeat, and takes changes of what it says of itself. */
   beat(changes: Partial<MemberRecord>, wallMs: number): void {
     const heartbeat = Math.max(this.#self.heartbeat + 1, Math.floor(wallMs));
-    this.#self = { ...this.#self, ...changes, heartbeat };
+    const changed = { ...this.#self, ...changes };
+    const revision = differs(this.#self, changed) ? heartbeat : this.#self.revision;
+    this.#self = { ...changed, heartbeat, revision };
   }
 
-  /** Takes in what another agent says. @returns whether a member appeared or changed. */
-  merge(record: MemberRecord, nowMs: number): boolean {
-    if (record.id === this.#self.id) return this.#outdo(record);
+  /** Takes in a pulse. @returns whether the record behind it has to be asked for. */
+  pulse(pulse: MemberPulse, nowMs: number): boolean {
+    if (pulse.id === this.#self.id) {
+      this.#outdo(pulse);
+      return false;
+    }
+    const known = this.#known.get(pulse.id);
+    if (known === undefined || pulse.revision > known.record.revision) return true;
+    if (pulse.revision < known.record.revision) return false;
+    if (pulse.heartbeat <= known.record.heartbeat) return false;
+    const record = { ...known.record, heartbeat: pulse.heartbeat };
+    this.#known.set(pulse.id, { record, heardMs: nowMs });
+    return false;
+  }
+
+  /** Takes in a whole record. */
+  merge(record: MemberRecord, nowMs: number): void {
+    if (record.id === this.#self.id) {
+      this.#outdo(record);
+      return;
+    }
     const known = this.#known.get(record.id);
-    if (known !== undefined && known.record.heartbeat >= record.heartbeat) return false;
+    if (known !== undefined && known.record.heartbeat >= record.heartbeat) return;
     this.#known.set(record.id, { record, heardMs: nowMs });
-    return known === undefined || !this.#isLive(known, nowMs) || differs(known.record, record);
+  }
+
+  /** Records that another agent asked for. */
+  records(ids: readonly EntryVmId[]): MemberRecord[] {
+    return ids.flatMap((id) =>
+      id === this.#self.id ? [this.#self] : (this.#known.get(id)?.record ?? []),
+    );
   }
 
   /** All live members, this one first. */
@@ -65,13 +96,15 @@
       .map((known) => known.record);
   }
 
-  /** The freshest records, this member's own first. */
-  freshest(nowMs: number): readonly MemberRecord[] {
+  /** The freshest pulses, this member's own first. */
+  freshest(nowMs: number): MemberPulse[] {
     const others = [...this.#known.values()]
       .filter((known) => this.#isLive(known, nowMs))
       .sort((a, b) => b.heardMs - a.heardMs)
-      .slice(0, MAX_GOSSIP_RECORDS - 1);
-    return [this.#self, ...others.map((known) => known.record)];
+      .slice(0, MAX_PULSES - 1);
+    return [this.#self, ...others.map((known) => known.record)].map(
+      ({ id, heartbeat, revision }) => ({ id, heartbeat, revision }),
+    );
   }
 
   /** Forgets members that have been dead for long. */
@@ -82,18 +115,22 @@
   }
 
   /** A predecessor's record under this id may carry a higher heartbeat than this one's clock. */
-  #outdo(record: MemberRecord): boolean {
-    if (record.incarnation === this.#self.incarnation) return false;
-    if (record.heartbeat < this.#self.heartbeat) return false;
-    this.#self = { ...this.#self, heartbeat: record.heartbeat + 1 };
-    return true;
+  #outdo({ heartbeat }: MemberPulse): void {
+    if (heartbeat <= this.#self.heartbeat) return;
+    this.#self = { ...this.#self, heartbeat: heartbeat + 1, revision: heartbeat + 1 };
   }
 
   #isLive(known: Known, nowMs: number): boolean {
-    return nowMs - known.heardMs <= this.#failureMs;
+    const perMember = FAILURE_MS_PER_MEMBER * this.#known.size;
+    return nowMs - known.heardMs <= Math.min(MAX_FAILURE_MS, this.#failureMs + perMember);
   }
 }
 
 function differs(a: MemberRecord, b: MemberRecord): boolean {
-  return JSON.stringify({ ...a, heartbeat: 0 }) !== JSON.stringify({ ...b, heartbeat: 0 });
+  return contentOf(a) !== contentOf(b);
+}
+
+/** All of a record but its counters, as a text to compare. */
+function contentOf(record: MemberRecord): string {
+  return JSON.stringify({ ...record, heartbeat: 0, revision: 0 });
 }
--- a/src/coordination/owned.ts
+++ b/src/coordination/owned.ts
@@ -2,7 +2,7 @@
 import { RequestRecords, notRun, unknown } from '../state/index.js';
 import type { Failure, Fingerprint, KeptAnswer, RecordLimits, RequestId } from '../state/index.js';
 import type { EntryEffect } from './calls.js';
-import type { Ticket } from './dispatchers.js';
+import type { Ticket } from './works.js';
 
 /** What to do with a request after its id was looked up. */
 export type OwnedStart =
--- a/src/coordination/placements.ts
+++ b/src/coordination/placements.ts
@@ -18,13 +18,14 @@
 import type { LeavingSigns } from './claims.js';
 import type { CrashVerdict } from './crashes.js';
 import { Dispatcher } from './dispatchers.js';
-import type { ClaimedServer, DispatchEffect } from './dispatchers.js';
+import type { ClaimedServer, DispatchEffect } from './works.js';
 import { HeadroomLedger } from './grants.js';
 import { splitOfItem, vmOfItem } from './items.js';
 import { LinkBudgets } from './links.js';
 import { DispatcherIndex, keyOf } from './places.js';
 import { Router } from './routers.js';
 import type { RouterContext } from './routers.js';
+import { ItemVersions } from './versions.js';
 
 /** Time for which an entry VM that could not be reached is not used, in milliseconds. */
 const SUSPECT_MS = 2_000;
@@ -45,6 +46,8 @@
 
   readonly #self: PlacementSelf;
 
+  readonly #versions = new ItemVersions();
+
   readonly #claims: ServerClaims;
 
   /** By service and failure domain. */
@@ -143,6 +146,7 @@
 
   /** Takes in an item of settings or a split. @returns whether placement may have changed. */
   learn(item: ReplicaItem): boolean {
+    if (!this.#versions.advance(item)) return false;
     const report = splitOfItem(item);
     if (report !== undefined) {
       this.router(report.service).adopt(report.home, report.split);
--- a/src/coordination/tests/agentworlds.ts
+++ b/src/coordination/tests/agentworlds.ts
@@ -98,6 +98,7 @@
       peerAddress: address,
       agentAddress: address,
       heartbeat: Math.max(0, wallMs),
+      revision: 0,
       incarnation: Incarnation.parse(String(this.#order).padStart(8, '0')),
       phase: 'serving' as const,
       epoch: 0,
--- /dev/null
+++ b/src/coordination/tests/lookups.test.ts
@@ -0,0 +1,100 @@
+/** Look-ups: order of entry VMs, stability, prefixes. */
+import { expect } from 'chai';
+import {
+  Endpoint,
+  EntryVmId,
+  FailureDomainId,
+  Incarnation,
+  SettingsPath,
+  SettingsView,
+  settingsKey,
+} from '../../state/index.js';
+import type { MemberPhase, MemberRecord } from '../../state/index.js';
+import { LookupPlanner, MAX_LOOKUP_TARGETS } from '../index.js';
+
+const [A, B, C] = ['a', 'b', 'c'].map((id) => FailureDomainId.parse(id)) as [
+  FailureDomainId,
+  FailureDomainId,
+  FailureDomainId,
+];
+
+function member(id: string, domain: FailureDomainId, phase: MemberPhase = 'serving'): MemberRecord {
+  const address = Endpoint.parse('10.0.0.1:80');
+  return {
+    id: EntryVmId.parse(id),
+    failureDomain: domain,
+    heartbeat: 1,
+    revision: 1,
+    incarnation: Incarnation.parse('0123456789abcdef'),
+    phase,
+    epoch: 4,
+    callerAddress: address,
+    peerAddress: address,
+    agentAddress: address,
+    dispatching: [],
+  };
+}
+
+function view(): SettingsView {
+  const settings = new SettingsView();
+  const fleet = {
+    kind: 'fleet',
+    regions: [
+      { id: 'near', failureDomains: ['a', 'b'] },
+      { id: 'far', failureDomains: ['c'] },
+    ],
+    links: [{ between: ['near', 'far'], mbitPerS: 4000, oneWayMs: 55 }],
+    clientBlocks: [
+      { block: '10.0.0.0/8', failureDomain: 'a' },
+      { block: '10.9.0.0/16', failureDomain: 'c' },
+      { block: '2001:db8::/32', failureDomain: 'b' },
+    ],
+  };
+  const key = settingsKey(SettingsPath.parse('fleet'));
+  settings.apply({ key, version: 1, body: { settings: fleet, history: [] } });
+  return settings;
+}
+
+it('names the own failure domain first, then the region, then the rest', () => {
+  const planner = new LookupPlanner(view(), [member('c-1', C), member('b-1', B), member('a-1', A)]);
+  const { targets } = planner.plan('10.1.1.1', A).unwrap();
+  expect(targets.map((each) => each.entryVm)).to.deep.equal(['a-1', 'b-1', 'c-1']);
+  expect(targets[0]?.requestIdPrefix).to.equal('a-1.0123456789abcdef.4.');
+});
+
+it('does not name an entry VM that is stopping, and at most a few', () => {
+  const members = Array.from({ length: 9 }, (_, i) => member(`a-${i}`, A));
+  const planner = new LookupPlanner(view(), [member('gone', A, 'stopping'), ...members]);
+  const { targets } = planner.plan('10.1.1.1', A).unwrap();
+  expect(targets).to.have.length(MAX_LOOKUP_TARGETS);
+  expect(targets.map((each) => each.entryVm)).to.not.include('gone');
+});
+
+it('spreads callers evenly and moves only those of an entry VM that left', () => {
+  const members = Array.from({ length: 5 }, (_, i) => member(`a-${i}`, A));
+  const first = (list: readonly MemberRecord[], caller: string) =>
+    new LookupPlanner(view(), list).plan(caller, A).unwrap().targets[0]?.entryVm;
+  const callers = Array.from({ length: 1_000 }, (_, i) => `10.1.${Math.floor(i / 250)}.${i % 250}`);
+  const before = callers.map((caller) => first(members, caller));
+  members.forEach((each) => {
+    const share = before.filter((id) => id === each.id).length / callers.length;
+    expect(share).to.be.within(0.1, 0.3);
+  });
+  const after = callers.map((caller) => first(members.slice(1), caller));
+  const moved = callers.filter((_, i) => before[i] !== after[i] && before[i] !== 'a-0');
+  expect(moved).to.have.length(0);
+});
+
+it('says so when no entry VM serves', () => {
+  const planned = new LookupPlanner(view(), []).plan('10.1.1.1', A);
+  expect(planned.isErr() && planned.error).to.equal('no_entry_vm');
+});
+
+it('finds the home of a caller by the longest block', () => {
+  const settings = view();
+  expect(settings.homeOf('10.1.2.3')).to.equal('a');
+  expect(settings.homeOf('10.9.2.3')).to.equal('c');
+  expect(settings.homeOf('::ffff:10.9.2.3')).to.equal('c');
+  expect(settings.homeOf('2001:db8::7')).to.equal('b');
+  expect(settings.homeOf('192.0.2.1')).to.equal(undefined);
+});
--- a/src/coordination/tests/worlds.ts
+++ b/src/coordination/tests/worlds.ts
@@ -287,6 +287,7 @@
         id: vm.id,
         failureDomain: vm.domain,
         heartbeat: 1,
+        revision: 0,
         incarnation: vm.incarnation,
         phase: vm.machine.stopping ? ('stopping' as const) : ('serving' as const),
         epoch: vm.machine.epoch(this.nowMs),
--- a/src/coordination/writes.ts
+++ b/src/coordination/writes.ts
@@ -138,3 +138,9 @@
   if (team === undefined) return Err('no_team');
   return opens(key, team.keyHash) ? Ok(team.name) : Err('wrong_key');
 }
+
+/** Whether a key opens anything of the fleet: enough to release content, which belongs to no team. */
+export function opensAny(fleet: FleetSettings | undefined, key: string): boolean {
+  const paths = [FLEET_PATH, ...(fleet?.teams ?? []).map((team) => team.subtree)];
+  return paths.some((path) => authorize(fleet, path, key).isOk());
+}
--- a/src/state/members.ts
+++ b/src/state/members.ts
@@ -12,6 +12,8 @@
   failureDomain: FailureDomainId,
   /** Rises with each heartbeat; a replacement starts above what it hears of its predecessor. */
   heartbeat: z.number().int().nonnegative(),
+  /** The heartbeat at which anything else in this record last changed. */
+  revision: z.number().int().nonnegative(),
   /** The incarnation of the entry process. */
   incarnation: Incarnation,
   phase: MemberPhase,
@@ -24,3 +26,7 @@
   dispatching: z.array(BackendServerId),
 });
 export type MemberRecord = z.infer<typeof MemberRecord>;
+
+/** The part of a record that changes all the time, as it is told from agent to agent. */
+export const MemberPulse = MemberRecord.pick({ id: true, heartbeat: true, revision: true });
+export type MemberPulse = z.infer<typeof MemberPulse>;
--- a/src/transport/agents.ts
+++ b/src/transport/agents.ts
@@ -6,6 +6,7 @@
   authorize,
   crashKey,
   crashOfItem,
+  opensAny,
   vmKey,
   writeSettings,
 } from '../coordination/index.js';
@@ -86,6 +87,7 @@
         peerAddress,
         agentAddress,
         heartbeat: Math.floor(clock().wallMs),
+        revision: 0,
         incarnation: Incarnation.parse('00000000'),
         phase: 'starting',
         epoch: 0,
@@ -308,6 +310,10 @@
   }
 
   async #release(req: Extract<OperatorRequest, { type: 'release' }>): Promise<OperatorReply> {
+    if (!opensAny(this.#view.fleet, req.key)) {
+      this.#log('changeRefused', { path: 'release', who: req.who, code: 'wrong_key' });
+      return { type: 'refused', code: 'wrong_key' };
+    }
     const held = this.#machine.item(crashKey(req.fingerprint));
     const known = held === undefined ? undefined : crashOfItem(held);
     if (held === undefined || known === undefined) return { type: 'refused', code: 'not_known' };
--- a/src/transport/entries.ts
+++ b/src/transport/entries.ts
@@ -1,6 +1,6 @@
 /** The entry's task: turns effects of its state machine into I/O, and I/O into events. */
 import { randomBytes } from 'node:crypto';
-import { EntryMachine, planLookup, splitItem } from '../coordination/index.js';
+import { EntryMachine, LookupPlanner, splitItem } from '../coordination/index.js';
 import type {
   Call,
   EntryEffect,
@@ -111,6 +111,8 @@
 
   readonly #leaving = new Set<BackendServerId>();
 
+  #planner: LookupPlanner;
+
   readonly #reportedSplits = new Map<string, string>();
 
   /** Items for the agent that were not reported yet. */
@@ -137,6 +139,7 @@
       Math.random,
       clock(),
     );
+    this.#planner = new LookupPlanner(this.#machine.view, []);
   }
 
   get machine(): EntryMachine {
@@ -176,7 +179,7 @@
   /** Answers a look-up for a caller's address. */
   lookup(address: string): Result<LookupAnswer, 'no_entry_vm'> {
     const home = this.#machine.view.homeOf(address) ?? this.#cfg.failureDomain;
-    return planLookup(this.#machine.view, address, home, this.#machine.members);
+    return this.#planner.plan(address, home);
   }
 
   /** Takes a request in. */
@@ -429,6 +432,7 @@
     } else {
       update.items.forEach((item) => this.#feed({ type: 'item', item }));
     }
+    this.#planner = new LookupPlanner(this.#machine.view, this.#machine.members);
     this.#reportChangedDuties();
   }
 
