Keep few members of other failure domains; listen on port 0 in tests

Cause: npm run bench: seeds and delegates sent up to 104 KB/s at 10 domains of 62, since every agent kept every member and called seeds whenever one was out of sight.

Tried and seen to fail: keeping four members of each other domain alone. Agents of one domain then stayed in groups that never met (agents.test.ts, 3 domains of 40: 63 watchers in place of 6; trace: non-delegates knew only remote members and took themselves for alone). Asking only when alone left two groups of 11 and 29. Now delegates ask others for members of their own domain every four heartbeats.

Change: as above; agents and entries listen first and tell the address that they were given.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,4 +1,4 @@
-/** Prints the slopes that docs/CAPACITY.md is worked out from. */
+/** Prints the slopes that docs/CAPACITY.md is worked out from: all, or those named as arguments. */
 import http from 'node:http';
 import { encode } from '@msgpack/msgpack';
 import {
@@ -239,10 +239,17 @@
   await fleet.close();
 }
 
-await measureHttp();
-measureBlocks();
-measureLookups();
-measureReplicas();
-measureAgents();
-measureSpread();
+const MEASUREMENTS: Readonly<Record<string, () => Promise<void> | void>> = {
+  http: measureHttp,
+  blocks: measureBlocks,
+  lookups: measureLookups,
+  replicas: measureReplicas,
+  agents: measureAgents,
+  spread: measureSpread,
+};
+
+const wanted = process.argv.slice(2);
+for (const [name, measure] of Object.entries(MEASUREMENTS)) {
+  if (wanted.length === 0 || wanted.includes(name)) await measure();
+}
 process.exit(0);
--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -5,6 +5,7 @@
 import {
   EntryMetrics,
   EntryTask,
+  boundEndpoint,
   callerApp,
   createLogger,
   listen,
@@ -38,8 +39,12 @@
 const metrics = new EntryMetrics(() => task.machine.load);
 const peers = await listen(peerApp(task, metrics), cfg.peerAddress);
 const callers = await listen(callerApp(task, metrics), cfg.callerAddress);
-task.start();
-log('processStarted', { callers: cfg.callerAddress, peers: cfg.peerAddress });
+const addresses = {
+  callerAddress: boundEndpoint(callers, cfg.callerAddress),
+  peerAddress: boundEndpoint(peers, cfg.peerAddress),
+};
+task.start(addresses);
+log('processStarted', addresses);
 onStop(async () => {
   await task.stop();
   callers.close();
--- a/src/coordination/agents.ts
+++ b/src/coordination/agents.ts
@@ -9,6 +9,7 @@
 import { z } from 'zod';
 import {
   EntryVmId,
+  FailureDomainId,
   MemberPulse,
   MemberRecord,
   ReplicaItem,
@@ -23,7 +24,12 @@
 
 /** A message from agent to agent. */
 export const PeerMessage = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('heartbeat'), pulses: z.array(MemberPulse) }),
+  z.object({
+    type: z.literal('heartbeat'),
+    pulses: z.array(MemberPulse),
+    /** Asks for members of this failure domain, the sender's own, that it may not know. */
+    peersOf: FailureDomainId.optional(),
+  }),
   z.object({ type: z.literal('members'), members: z.array(MemberRecord) }),
   z.object({ type: z.literal('advert'), versions: z.array(ReplicaVersion) }),
   z.object({ type: z.literal('items'), items: z.array(ReplicaItem) }),
@@ -36,7 +42,12 @@
 export const PeerReply = z.discriminatedUnion('type', [
   z.object({ type: z.literal('ok') }),
   z.object({ type: z.literal('wanted'), keys: z.array(ReplicaKey) }),
-  z.object({ type: z.literal('wantedMembers'), ids: z.array(EntryVmId) }),
+  z.object({
+    type: z.literal('wantedMembers'),
+    ids: z.array(EntryVmId),
+    /** Members of the failure domain that was asked for. */
+    peers: z.array(MemberRecord),
+  }),
   z.object({
     type: z.literal('versions'),
     digest: z.array(z.number()),
@@ -51,6 +62,8 @@
   incarnation: MemberRecord.shape.incarnation,
   phase: MemberRecord.shape.phase,
   epoch: MemberRecord.shape.epoch,
+  callerAddress: MemberRecord.shape.callerAddress,
+  peerAddress: MemberRecord.shape.peerAddress,
   dispatching: MemberRecord.shape.dispatching,
   items: z.array(ReplicaItem),
 });
@@ -61,6 +74,8 @@
   | { readonly type: 'reply'; readonly to: Endpoint; readonly reply: PeerReply }
   | { readonly type: 'entryReport'; readonly report: EntryReport }
   | { readonly type: 'entryGone' }
+  /** The agent listens there, which may be another port than its settings ask for. */
+  | { readonly type: 'listening'; readonly address: Endpoint }
   /** Items read from the platform, or accepted by it. */
   | { readonly type: 'stored'; readonly items: readonly ReplicaItem[] };
 
@@ -88,9 +103,15 @@
 /** Heartbeats between two comparisons of digests. */
 const DIGEST_EVERY = 4;
 
-/** Heartbeats between two tries to reach a lost member or a seed. */
+/** Heartbeats between two tries to reach a lost member. */
 const RECONNECT_EVERY = 2;
 
+/** Heartbeats between two tries of a delegate to reach a seed that it does not hear of. */
+const SEED_EVERY = 20;
+
+/** Heartbeats of a delegate between two that ask others for members of its own domain. */
+const PEERS_EVERY = 4;
+
 /** Members of the own domain that get each heartbeat. */
 const DOMAIN_FANOUT = 2;
 
@@ -155,6 +176,9 @@
         return this.#onReply(event.to, event.reply, instant);
       case 'entryReport':
         return this.#onEntryReport(event.report, instant);
+      case 'listening':
+        this.#members.beat({ agentAddress: event.address }, instant.wallMs);
+        return [];
       case 'entryGone':
         this.#members.beat({ phase: 'starting', dispatching: [] }, instant.wallMs);
         return this.#publishMembers(instant.nowMs);
@@ -169,7 +193,7 @@
   receive(message: PeerMessage, instant: Instant): Received {
     switch (message.type) {
       case 'heartbeat':
-        return this.#onHeartbeat(message.pulses, instant.nowMs);
+        return this.#onHeartbeat(message, instant.nowMs);
       case 'members':
         message.members.forEach((member) => this.#members.merge(member, instant.nowMs));
         return { reply: OK, effects: this.#publishMembers(instant.nowMs) };
@@ -198,17 +222,18 @@
     this.#beats += 1;
     this.#members.beat({}, wallMs);
     this.#members.expire(nowMs);
-    const heartbeat: PeerMessage = {
-      type: 'heartbeat',
-      pulses: this.#members.freshest(nowMs),
-    };
     const domainPeers = this.#domainPeers(nowMs);
     const remotePeers = this.#isOneOf('delegate', DELEGATES, nowMs) ? this.#remotePeers(nowMs) : [];
     const targets = [
       ...this.#pick(domainPeers, DOMAIN_FANOUT),
       ...this.#pick(remotePeers, REMOTE_FANOUT),
     ].map((member) => member.agentAddress);
-    if (this.#beats % RECONNECT_EVERY === 1) targets.push(...this.#pick(this.#unheard(nowMs), 1));
+    targets.push(...this.#pick(this.#reconnects(nowMs), 1));
+    const heartbeat: PeerMessage = {
+      type: 'heartbeat',
+      pulses: this.#members.freshest(nowMs),
+      ...(this.#asksForPeers(nowMs) ? { peersOf: this.self.failureDomain } : {}),
+    };
     const sends = targets.map((to): AgentEffect => ({ type: 'send', to, message: heartbeat }));
     return [
       ...sends,
@@ -218,6 +243,15 @@
     ];
   }
 
+  /**
+   * Agents of one failure domain that do not know each other could stay apart for good. Others know
+   * a few of each side, so they are asked now and then, and by whoever is alone.
+   */
+  #asksForPeers(nowMs: number): boolean {
+    if (this.#domainPeers(nowMs).length === 0) return true;
+    return this.#beats % PEERS_EVERY === 1 && this.#isOneOf('delegate', DELEGATES, nowMs);
+  }
+
   /** Compares digests with a random agent now and then; a new agent does so at once. */
   #compare(peers: readonly MemberRecord[], nowMs: number): readonly AgentEffect[] {
     if (this.#beats % DIGEST_EVERY !== 1 && this.#replicas.size > 0) return [];
@@ -237,10 +271,13 @@
     return [{ type: 'watch', on }];
   }
 
-  #onHeartbeat(pulses: readonly MemberPulse[], nowMs: number): Received {
-    const wanted = pulses.filter((pulse) => this.#members.pulse(pulse, nowMs));
+  #onHeartbeat(message: Extract<PeerMessage, { type: 'heartbeat' }>, nowMs: number): Received {
+    const wanted = message.pulses.filter((pulse) => this.#members.pulse(pulse, nowMs));
     const ids = wanted.map((pulse) => pulse.id);
-    return { reply: { type: 'wantedMembers', ids }, effects: [] };
+    const peers = this.#members
+      .live(nowMs)
+      .filter((member) => member.failureDomain === message.peersOf);
+    return { reply: { type: 'wantedMembers', ids, peers: [...peers] }, effects: [] };
   }
 
   #onReply(to: Endpoint, reply: PeerReply, instant: Instant): readonly AgentEffect[] {
@@ -250,6 +287,7 @@
       case 'wanted':
         return this.#sendItems(to, this.#held(reply.keys));
       case 'wantedMembers':
+        reply.peers.forEach((peer) => this.#members.merge(peer, instant.nowMs));
         return this.#sendMembers(to, reply.ids);
       case 'versions': {
         const newer = this.#replicas.newerThan(reply.versions, reply.digest);
@@ -336,6 +374,16 @@
     return this.#members.live(nowMs).slice(1);
   }
 
+  /** Agents to try again now: lost ones often, seeds by those who are alone, or by delegates. */
+  #reconnects(nowMs: number): readonly Endpoint[] {
+    if (this.#beats % RECONNECT_EVERY !== 1) return [];
+    if (this.#domainPeers(nowMs).length === 0) return this.#unheard(nowMs);
+    const seedsToo = this.#beats % SEED_EVERY === 1 && this.#isOneOf('delegate', DELEGATES, nowMs);
+    return seedsToo
+      ? this.#unheard(nowMs)
+      : this.#members.lost(nowMs).map((member) => member.agentAddress);
+  }
+
   /** Agents that may exist but were not heard of lately. */
   #unheard(nowMs: number): readonly Endpoint[] {
     const live = new Set(this.#members.live(nowMs).map((member) => member.agentAddress));
--- a/src/coordination/members.ts
+++ b/src/coordination/members.ts
@@ -5,7 +5,8 @@
  * of a record is asked for only when its revision is new. A member whose counter stands still for `failureMs` is believed dead. The platform's list and the
  * configured seeds only say whom to talk to first.
  */
-import type { EntryVmId, MemberPulse, MemberRecord } from '../state/index.js';
+import type { EntryVmId, FailureDomainId, MemberPulse, MemberRecord } from '../state/index.js';
+import { rendezvousTop } from './rendezvous.js';
 
 /** Least time without a new heartbeat after which a member is believed dead, in milliseconds. */
 export const FAILURE_MS = 3_000;
@@ -21,6 +22,9 @@
 /** Pulses in one message, so that its size does not grow with the fleet. */
 export const MAX_PULSES = 48;
 
+/** Members kept of each other failure domain, so that a table does not grow with the fleet. */
+export const MAX_REMOTE_MEMBERS = 4;
+
 interface Known {
   readonly record: MemberRecord;
   readonly heardMs: number;
@@ -31,6 +35,11 @@
 
   readonly #known = new Map<EntryVmId, Known>();
 
+  /** Members of other failure domains that are not kept; tried again after a while. */
+  #passedOver = new Set<EntryVmId>();
+
+  #passedOverSinceMs = 0;
+
   #self: MemberRecord;
 
   constructor(self: MemberRecord, failureMs = FAILURE_MS) {
@@ -57,6 +66,7 @@
       return false;
     }
     const known = this.#known.get(pulse.id);
+    if (known === undefined && this.#passedOver.has(pulse.id)) return false;
     if (known === undefined || pulse.revision > known.record.revision) return true;
     if (pulse.revision < known.record.revision) return false;
     if (pulse.heartbeat <= known.record.heartbeat) return false;
@@ -74,6 +84,22 @@
     const known = this.#known.get(record.id);
     if (known !== undefined && known.record.heartbeat >= record.heartbeat) return;
     this.#known.set(record.id, { record, heardMs: nowMs });
+    if (record.failureDomain !== this.#self.failureDomain) this.#trim(record.failureDomain, nowMs);
+  }
+
+  /** Passes over members of another failure domain beyond the first few by rendezvous order. */
+  #trim(domain: FailureDomainId, nowMs: number): void {
+    const ids = [...this.#known.values()]
+      .filter((known) => known.record.failureDomain === domain && this.#isLive(known, nowMs))
+      .map((known) => known.record.id);
+    if (ids.length <= MAX_REMOTE_MEMBERS) return;
+    const kept = rendezvousTop(domain, ids, MAX_REMOTE_MEMBERS);
+    ids
+      .filter((id) => !kept.includes(id))
+      .forEach((id) => {
+        this.#known.delete(id);
+        this.#passedOver.add(id);
+      });
   }
 
   /** Records that another agent asked for. */
@@ -107,8 +133,12 @@
     );
   }
 
-  /** Forgets members that have been dead for long. */
+  /** Forgets members that have been dead for long, and whom it passed over. */
   expire(nowMs: number): void {
+    if (nowMs - this.#passedOverSinceMs > FORGET_MS) {
+      this.#passedOver = new Set();
+      this.#passedOverSinceMs = nowMs;
+    }
     this.#known.forEach((known, id) => {
       if (nowMs - known.heardMs > FORGET_MS) this.#known.delete(id);
     });
--- a/src/coordination/tests/agents.test.ts
+++ b/src/coordination/tests/agents.test.ts
@@ -98,6 +98,17 @@
   expect(watchers).to.deep.equal([6, 6, 6]);
 });
 
+it('all agents of a large failure domain find each other', () => {
+  const world = new AgentWorld({ domains: 3, perDomain: 40 });
+  world.advance(15_000);
+  world.agents.forEach((agent) => {
+    const peers = agent.machine
+      .members(world.nowMs)
+      .filter((member) => member.failureDomain === agent.domain);
+    expect(peers).to.have.length(40);
+  });
+});
+
 it('a split domain of agents still has its watchers', () => {
   const world = new AgentWorld({ domains: 2, perDomain: 5 });
   world.advance(10_000);
--- a/src/transport/agents.ts
+++ b/src/transport/agents.ts
@@ -35,7 +35,7 @@
 import { pause, systemClock } from './clocks.js';
 import type { Clock } from './clocks.js';
 import type { Logger } from './logs.js';
-import { AgentClient, serveAgent } from './peers.js';
+import { AgentClient, boundEndpoint, serveAgent } from './peers.js';
 import { PlatformClient } from './platforms.js';
 import { UpdateStream } from './streams.js';
 
@@ -105,9 +105,16 @@
       exchange: (message) => this.#exchange(message),
       operate: (req) => this.#operate(req),
     });
+    const address = boundEndpoint(this.#server, this.#cfg.agentAddress);
+    this.#perform(this.#machine.handle({ type: 'listening', address }, this.#clock()));
     this.#timer = setInterval(() => this.#tick(), HEARTBEAT_MS);
     this.#tick();
-    this.#log('processStarted', { address: this.#cfg.agentAddress });
+    this.#log('processStarted', { address });
+  }
+
+  /** Where it listens. */
+  get address(): Endpoint {
+    return this.#machine.self.agentAddress;
   }
 
   /** Stops at once: others find out by missing heartbeats, and hold the same items. */
--- a/src/transport/entries.ts
+++ b/src/transport/entries.ts
@@ -14,6 +14,7 @@
 import type {
   BackendServerId,
   CallerId,
+  Endpoint,
   KeptAnswer,
   MemberPhase,
   ReplicaItem,
@@ -58,6 +59,12 @@
   load(): number | undefined;
 }
 
+/** Where an entry listens. */
+export interface EntryAddresses {
+  readonly callerAddress: Endpoint;
+  readonly peerAddress: Endpoint;
+}
+
 /** Time between two ticks of the state machine, in milliseconds. */
 const TICK_MS = 20;
 
@@ -122,6 +129,8 @@
 
   #timers: NodeJS.Timeout[] = [];
 
+  #addresses: EntryAddresses;
+
   #tickets = 0;
 
   #informed = false;
@@ -140,6 +149,7 @@
       clock(),
     );
     this.#planner = new LookupPlanner(this.#machine.view, []);
+    this.#addresses = { callerAddress: cfg.callerAddress, peerAddress: cfg.peerAddress };
   }
 
   get machine(): EntryMachine {
@@ -151,7 +161,9 @@
     return this.#informed && this.#machine.view.fleet !== undefined && !this.#machine.stopping;
   }
 
-  start(): void {
+  /** @param addresses - where it listens for callers and for other entry VMs. */
+  start(addresses: EntryAddresses): void {
+    this.#addresses = addresses;
     this.#timers = [
       setInterval(() => this.#feed({ type: 'tick' }), TICK_MS),
       setInterval(() => this.#report(), REPORT_MS),
@@ -457,6 +469,7 @@
       incarnation: this.incarnation,
       phase: this.#phase,
       epoch: this.#machine.epoch(nowMs),
+      ...this.#addresses,
       dispatching: [...this.#machine.dispatching()],
       items,
     });
--- a/src/transport/peers.ts
+++ b/src/transport/peers.ts
@@ -5,6 +5,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import http2 from 'node:http2';
+import type { Server } from 'node:net';
 import type { z } from 'zod';
 import {
   AgentService,
@@ -19,7 +20,7 @@
   toFrame,
 } from '../protocol/index.js';
 import type { Frame } from '../protocol/gen/lovagesail_pb.js';
-import type { Endpoint } from '../state/index.js';
+import { Endpoint } from '../state/index.js';
 
 /** Why a call of another process failed. */
 export interface PeerFailure {
@@ -80,6 +81,13 @@
   });
 }
 
+/** Where a server listens: its endpoint, with the port that it was given for port 0. */
+export function boundEndpoint(server: Server, address: Endpoint): Endpoint {
+  const bound = server.address();
+  if (bound === null || typeof bound === 'string') return address;
+  return Endpoint.parse(`${address.slice(0, address.lastIndexOf(':'))}:${bound.port}`);
+}
+
 /** Host and port of an endpoint, the host without brackets. */
 export function splitEndpoint(address: Endpoint): { readonly host: string; readonly port: number } {
   const at = address.lastIndexOf(':');
--- a/src/transport/tests/fleets.ts
+++ b/src/transport/tests/fleets.ts
@@ -1,7 +1,4 @@
 /** A small fleet of real tasks on loopback, for tests on real sockets. */
-import type { Server } from 'node:http';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import got from 'got';
 import type { Response } from 'got';
@@ -14,26 +11,13 @@
 import { callerApp, listen, peerApp } from '../callers.js';
 import { EntryTask } from '../entries.js';
 import { EntryMetrics } from '../metrics.js';
+import { boundEndpoint } from '../peers.js';
 
 const WAIT_MS = 8_000;
 const POLL_MS = 20;
 
-/** A port that was free just now. */
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
-async function freeEndpoint(): Promise<Endpoint> {
-  return Endpoint.parse(`127.0.0.1:${await freePort()}`);
-}
+/** Any free port, read back once something listens there. */
+const ANY_PORT = Endpoint.parse('127.0.0.1:0');
 
 /** Waits until a condition holds; fails the test when it never does. */
 export async function until(what: string, holds: () => Promise<boolean> | boolean): Promise<void> {
@@ -84,38 +68,39 @@
   id: string,
   failureDomain: string,
   platform: string,
-  agentAddress: Endpoint,
   seeds: readonly Endpoint[],
 ): Promise<FleetVm> {
-  const base = {
+  const asked = {
     id,
     failureDomain,
-    callerAddress: await freeEndpoint(),
-    peerAddress: await freeEndpoint(),
-    agentAddress,
+    callerAddress: ANY_PORT,
+    peerAddress: ANY_PORT,
+    agentAddress: ANY_PORT,
   };
   const agent = new AgentTask(
-    AgentConfig.parse({ ...base, platform, seeds, platformCallsPerSecond: 50 }),
+    AgentConfig.parse({ ...asked, platform, seeds, platformCallsPerSecond: 50 }),
     () => undefined,
   );
   await agent.start();
-  const entry = new EntryTask(EntryConfig.parse({ ...base, stopMs: 200 }), () => undefined);
+  const entry = new EntryTask(
+    EntryConfig.parse({ ...asked, agentAddress: agent.address, stopMs: 200 }),
+    () => undefined,
+  );
   const metrics = new EntryMetrics(() => entry.machine.load);
-  const servers: Server[] = [
-    await listen(callerApp(entry, metrics), base.callerAddress),
-    await listen(peerApp(entry, metrics), base.peerAddress),
-  ];
-  entry.start();
+  const callers = await listen(callerApp(entry, metrics), ANY_PORT);
+  const peers = await listen(peerApp(entry, metrics), ANY_PORT);
+  const callerAddress = boundEndpoint(callers, ANY_PORT);
+  entry.start({ callerAddress, peerAddress: boundEndpoint(peers, ANY_PORT) });
   return {
     id,
-    callers: base.callerAddress,
-    agentAddress,
+    callers: callerAddress,
+    agentAddress: agent.address,
     agent,
     entry,
     stop: async () => {
       await entry.stop();
       agent.stop();
-      servers.forEach((server) => {
+      [callers, peers].forEach((server) => {
         server.close();
         server.closeAllConnections();
       });
@@ -160,10 +145,11 @@
   const ids = domains.flatMap((domain) =>
     Array.from({ length: vmsPerDomain }, (_, i) => ({ id: `vm-${domain}-${i}`, domain })),
   );
-  const agents = await Promise.all(ids.map(() => freeEndpoint()));
-  const vms = await Promise.all(
-    ids.map(({ id, domain }, i) => startVm(id, domain, url, agents[i] as Endpoint, agents)),
-  );
+  const vms: FleetVm[] = [];
+  for (const { id, domain } of ids) {
+    const seeds = vms.map((vm) => vm.agentAddress);
+    vms.push(await startVm(id, domain, url, seeds));
+  }
   await until('the fleet serves', () =>
     vms.every((vm) => vm.entry.ready && vm.entry.machine.members.length === vms.length),
   );
