Share the start of long-running programs and the drivers' event queue

Change: startDaemon in programs.ts, EventQueue in eventqueues.ts. Ruled out as not the same logic: pairs that share only their shape (calls and works, schemas).

Measured: agents.test.ts and faults.test.ts, 23 of 23 before and after; type check and lint clean.

--- a/src/bin/programs.ts
+++ b/src/bin/programs.ts
@@ -1,10 +1,19 @@
 /** What all programs share: exit codes, files of settings, an orderly end. */
 import { readFileSync } from 'node:fs';
+import meow from 'meow';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { z } from 'zod';
 import { formatIssue, issuesOfParse, settingsIssue } from '../state/index.js';
 import type { SettingsIssue } from '../state/index.js';
+import { createLogger } from '../transport/index.js';
+import type { LogLevel, Logger } from '../transport/index.js';
+
+/** What the settings of every long-running program hold. */
+interface DaemonConfig {
+  readonly id: string;
+  readonly logLevel: LogLevel;
+}
 
 export const EXIT_DONE = 0;
 export const EXIT_FAILED = 1;
@@ -21,7 +30,7 @@
 }
 
 /** Reads a process's own settings file, or ends the process with every issue. */
-export function loadConfig<Schema extends z.ZodType>(
+function loadConfig<Schema extends z.ZodType>(
   schema: Schema,
   file: string | undefined,
 ): z.infer<Schema> {
@@ -39,6 +48,44 @@
   process.exit(EXIT_WRONG_USE);
 }
 
+/** A long-running program's settings and log, read and opened as all of them do. */
+export interface Daemon<Config> {
+  readonly cfg: Config;
+  readonly log: Logger;
+}
+
+/**
+ * Reads the command line and the settings file of a long-running program, and opens its log. A broken
+ * invariant ends the process.
+ *
+ * @param meta - `import.meta` of the program.
+ */
+export function startDaemon<Schema extends z.ZodType<DaemonConfig>>(
+  program: string,
+  schema: Schema,
+  meta: ImportMeta,
+): Daemon<z.infer<Schema>> {
+  const help = `
+  Usage
+    $ lovagesail-${program} --config FILE
+
+  Options
+    --config FILE  settings of this process, JSON
+    --help         this text
+    --version      the version
+
+  Exit codes: 0 stopped, 1 failed, 2 wrong use
+`;
+  const cli = meow(help, { importMeta: meta, flags: { config: { type: 'string' } } });
+  const cfg = loadConfig(schema, cli.flags.config);
+  const log = createLogger({ program, entryVm: cfg.id }, { level: cfg.logLevel });
+  process.on('uncaughtException', (err) => {
+    log('invariantBroken', { reason: err.stack });
+    process.exit(EXIT_FAILED);
+  });
+  return { cfg, log };
+}
+
 /** Runs `stop` once on the first SIGTERM or SIGINT, then ends the process. */
 export function onStop(stop: () => Promise<void> | void): void {
   let stopping = false;
--- a/src/coordination/tests/agentworlds.ts
+++ b/src/coordination/tests/agentworlds.ts
@@ -1,9 +1,9 @@
 /** A driver for tests and measurements: many agent machines joined by one queue of messages. */
-import TinyQueue from 'tinyqueue';
 import { Endpoint, EntryVmId, FailureDomainId, Incarnation } from '../../state/index.js';
 import type { ReplicaKey } from '../../state/index.js';
 import { AgentMachine, HEARTBEAT_MS } from '../index.js';
 import type { AgentEffect, PeerMessage } from '../index.js';
+import { EventQueue } from './eventqueues.js';
 import { randomFrom } from './worlds.js';
 
 const LATENCY_MS = 2;
@@ -11,12 +11,6 @@
 /** Agents that every new agent is told of. */
 const SEEDS = 3;
 
-interface Scheduled {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
 export interface WorldAgent {
   readonly id: EntryVmId;
   readonly domain: FailureDomainId;
@@ -37,9 +31,7 @@
   readonly sizeOf?: (message: unknown) => number;
 }
 
-export class AgentWorld {
-  nowMs = 0;
-
+export class AgentWorld extends EventQueue {
   dropShare = 0;
 
   readonly agents: WorldAgent[] = [];
@@ -52,11 +44,8 @@
 
   readonly #cut = new Set<FailureDomainId>();
 
-  readonly #queue = new TinyQueue<Scheduled>([], (a, b) => a.atMs - b.atMs || a.order - b.order);
-
-  #order = 0;
-
   constructor(options: AgentWorldOptions) {
+    super();
     this.#random = randomFrom(options.seed ?? 1);
     this.#sizeOf = options.sizeOf;
     for (let d = 0; d < options.domains; d += 1) {
@@ -90,7 +79,6 @@
     address: Endpoint,
     wallMs: number,
   ): AgentMachine {
-    this.#order += 1;
     const self = {
       id,
       failureDomain: domain,
@@ -99,7 +87,7 @@
       agentAddress: address,
       heartbeat: Math.max(0, wallMs),
       revision: 0,
-      incarnation: Incarnation.parse(String(this.#order).padStart(8, '0')),
+      incarnation: Incarnation.parse(String(this.number()).padStart(8, '0')),
       phase: 'serving' as const,
       epoch: 0,
       dispatching: [],
@@ -112,31 +100,14 @@
     return { nowMs: this.nowMs, wallMs: Math.max(0, 1e9 + this.nowMs + agent.wallOffsetMs) };
   }
 
-  #at(delayMs: number, run: () => void): void {
-    this.#order += 1;
-    this.#queue.push({ atMs: this.nowMs + delayMs, order: this.#order, run });
-  }
-
   #startTicks(agent: WorldAgent): void {
     const { machine } = agent;
     const tick = (): void => {
       if (!agent.alive || agent.machine !== machine) return;
       this.#perform(agent, machine.handle({ type: 'tick' }, this.#instant(agent)));
-      this.#at(HEARTBEAT_MS, tick);
+      this.at(HEARTBEAT_MS, tick);
     };
-    this.#at(this.#random() * HEARTBEAT_MS, tick);
-  }
-
-  advance(ms: number): void {
-    const end = this.nowMs + ms;
-    for (;;) {
-      const next = this.#queue.peek();
-      if (next === undefined || next.atMs > end) break;
-      this.#queue.pop();
-      this.nowMs = next.atMs;
-      next.run();
-    }
-    this.nowMs = end;
+    this.at(this.#random() * HEARTBEAT_MS, tick);
   }
 
   /** Gives one agent an item, as the platform would. */
@@ -206,13 +177,13 @@
     const { machine } = from;
     this.#count(from, message);
     if (target === undefined || !this.#passes(from, target)) return;
-    this.#at(LATENCY_MS, () => {
+    this.at(LATENCY_MS, () => {
       if (!target.alive) return;
       const { reply, effects } = target.machine.receive(message, this.#instant(target));
       this.#perform(target, effects);
       this.#count(target, reply);
       if (!this.#passes(target, from)) return;
-      this.#at(LATENCY_MS, () => {
+      this.at(LATENCY_MS, () => {
         if (!from.alive || from.machine !== machine) return;
         const event = { type: 'reply', to, reply } as const;
         this.#perform(from, machine.handle(event, this.#instant(from)));
--- a/src/coordination/tests/worlds.ts
+++ b/src/coordination/tests/worlds.ts
@@ -3,7 +3,6 @@
  * events under a clock of its own. What the oracle needs is counted here, by the driver alone.
  */
 import { createHash } from 'node:crypto';
-import TinyQueue from 'tinyqueue';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   BackendServerId,
@@ -21,6 +20,7 @@
 import type { Failure, Rank, ReplicaItem } from '../../state/index.js';
 import { EntryMachine, formatPrefix } from '../index.js';
 import type { Call, EntryEffect, EntryEvent, ForwardResult, RunId, Ticket } from '../index.js';
+import { EventQueue } from './eventqueues.js';
 
 export const SERVICE = ServiceName.parse('shop');
 
@@ -109,15 +109,7 @@
   readonly wallMs?: number;
 }
 
-interface Scheduled {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
-export class World {
-  nowMs = 0;
-
+export class World extends EventQueue {
   /** Time between two ticks of the entries, in milliseconds. */
   tickMs = 20;
 
@@ -145,13 +137,10 @@
 
   readonly #domains: readonly FailureDomainId[];
 
-  readonly #queue = new TinyQueue<Scheduled>([], (a, b) => a.atMs - b.atMs || a.order - b.order);
-
-  #order = 0;
-
   #version = 1;
 
   constructor(options: WorldOptions = {}) {
+    super();
     this.#options = options;
     this.random = randomFrom(options.seed ?? 1);
     this.#domains = (options.domains ?? ['a']).map((id) => FailureDomainId.parse(id));
@@ -224,8 +213,7 @@
   }
 
   #newIncarnation(): Incarnation {
-    this.#order += 1;
-    return Incarnation.parse(`inc${String(this.#order).padStart(9, '0')}`);
+    return Incarnation.parse(`inc${String(this.number()).padStart(9, '0')}`);
   }
 
   #newMachine(id: EntryVmId, incarnation: Incarnation, domain: FailureDomainId): EntryMachine {
@@ -238,24 +226,6 @@
     return { nowMs: this.nowMs, wallMs: this.nowMs + this.wallOffsetMs };
   }
 
-  /** Runs until a time from now has passed. */
-  advance(ms: number): void {
-    const end = this.nowMs + ms;
-    for (;;) {
-      const next = this.#queue.peek();
-      if (next === undefined || next.atMs > end) break;
-      this.#queue.pop();
-      this.nowMs = next.atMs;
-      next.run();
-    }
-    this.nowMs = end;
-  }
-
-  at(delayMs: number, run: () => void): void {
-    this.#order += 1;
-    this.#queue.push({ atMs: this.nowMs + delayMs, order: this.#order, run });
-  }
-
   /** Changes the service's settings everywhere. */
   changeService(changes: Readonly<Record<string, unknown>>): void {
     this.service = { ...this.service, ...changes };
@@ -407,8 +377,7 @@
   }
 
   #newTicket(): Ticket {
-    this.#order += 1;
-    return `t${this.#order}` as Ticket;
+    return `t${this.number()}` as Ticket;
   }
 
   #receive(
