--- a/src/transport/tests/failures.test.ts
+++ b/src/transport/tests/failures.test.ts
@@ -56,6 +56,17 @@
   await fleet.close();
 });
 
+it('a run past its deadline is told as unknown, and its server is not left with it', async () => {
+  const fleet = await fleetOf({ domains: ['a'] });
+  const [vm] = fleet.vms as [FleetVm];
+  const headers = { 'lovagesail-deadline-ms': '200' };
+  const res = await request(vm, 'POST', '/deposits/late?ms=5000', { headers, body: 'x' });
+  expect(res.headers['lovagesail-outcome']).to.equal('unknown');
+  const after = await request(vm, 'GET', '/prices/after');
+  expect(after.statusCode).to.equal(200);
+  await fleet.close();
+});
+
 it('a backend server that says it is draining gets no new work after 3 s', async () => {
   const fleet = await fleetOf({ domains: ['a'], serversPerDomain: 2 });
   const [vm] = fleet.vms as [FleetVm];
--- a/standins/backends.ts
+++ b/standins/backends.ts
@@ -16,6 +16,8 @@
   shedding: boolean;
   /** Multiplies run times, as a cold or slow server would. */
   slowness: number;
+  /** Runs that take `COLD_FACTOR` times as long, as after a cold start. */
+  coldRuns: number;
   /** Closes all connections and stops listening on a request whose body or path holds this text. */
   crashOn: string | undefined;
   /** Sends half of the answer and cuts the connection. */
@@ -41,12 +43,14 @@
 const DEFAULT_QUEUE = 2;
 const DEFAULT_RUN_MS = 5;
 const DEFAULT_BYTES = 64;
+const COLD_FACTOR = 10;
 
 export class BackendStandIn {
   readonly faults: BackendFaults = {
     draining: false,
     shedding: false,
     slowness: 1,
+    coldRuns: 0,
     crashOn: undefined,
     truncate: false,
     loseAnswer: false,
@@ -142,12 +146,23 @@
       this.close();
       return;
     }
-    const runMs = Number(url.searchParams.get('ms') ?? DEFAULT_RUN_MS) * this.faults.slowness;
-    await this.#work(runMs, req);
+    const runMs = this.#runMs(Number(url.searchParams.get('ms') ?? DEFAULT_RUN_MS));
+    const leftMs = Number(req.headers['lovagesail-deadline-ms'] ?? Infinity);
+    await this.#work(Math.min(runMs, leftMs), req);
     this.#freeSlot();
+    if (runMs > leftMs) {
+      req.socket.destroy();
+      return;
+    }
     this.#answer(req, res, Number(url.searchParams.get('bytes') ?? DEFAULT_BYTES), body);
   }
 
+  #runMs(asked: number): number {
+    const cold = this.faults.coldRuns > 0;
+    if (cold) this.faults.coldRuns -= 1;
+    return asked * this.faults.slowness * (cold ? COLD_FACTOR : 1);
+  }
+
   #answer(req: IncomingMessage, res: ServerResponse, bytes: number, body: string): void {
     if (this.#silent.has(req.socket)) return;
     if (this.faults.loseAnswer) {
