--- a/src/coordination/crashwatches.ts
+++ b/src/coordination/crashwatches.ts
@@ -2,7 +2,7 @@
 import type { EntryVmId, Fingerprint, ReplicaItem } from '../state/index.js';
 import { CrashGuard } from './crashes.js';
 import type { CrashRecord, CrashVerdict } from './crashes.js';
-import type { RunningWork } from './dispatchers.js';
+import type { RunningWork } from './runs.js';
 import { crashKey, crashOfItem } from './items.js';
 import { ItemVersions } from './versions.js';
 import type { RunId } from './works.js';
--- a/src/coordination/dispatchers.ts
+++ b/src/coordination/dispatchers.ts
@@ -17,6 +17,8 @@
 } from '../state/index.js';
 import { ShareBudget } from './budgets.js';
 import type { CrashVerdict } from './crashes.js';
+import { entryOf, fail, stopOf } from './runs.js';
+import type { Entry, Run, RunningWork } from './runs.js';
 import { RunTimes } from './runtimes.js';
 import { ServerSet } from './servers.js';
 import type { ServerSlots } from './slots.js';
@@ -25,33 +27,6 @@
 import { failureOf, heldUntil, mayHaveRun } from './works.js';
 import type { ClaimedServer, DispatchEffect, RunId, RunResult, Ticket, Work } from './works.js';
 
-/** A request and the run it has now. */
-export interface RunningWork {
-  readonly runId: RunId;
-  readonly work: Work;
-}
-
-interface Run {
-  readonly runId: RunId;
-  readonly entry: Entry;
-  readonly server: ServerSlots;
-  readonly startedMs: number;
-  readonly hedge: boolean;
-  begun: boolean;
-  /** When its connection was last checked, or the run's start. */
-  checkedMs: number;
-}
-
-interface Entry extends Work {
-  attempts: number;
-  readonly runs: Set<Run>;
-  cancelled: boolean;
-  /** Must run alone on its server, since its content is suspected of a crash. */
-  isolate: boolean;
-  /** A run of it ended in a way that leaves open whether the server ran it. */
-  mayHaveRun: boolean;
-}
-
 /** Times a request that never ran is put on another server. */
 const MAX_ATTEMPTS = 4;
 
@@ -163,14 +138,7 @@
   submit(work: Work, nowMs: number): readonly DispatchEffect[] {
     const slots = this.slots(nowMs);
     if (slots === 0 && this.#servers.size === 0) return [fail(work, 'no_server')];
-    const entry: Entry = {
-      ...work,
-      attempts: 0,
-      runs: new Set(),
-      cancelled: false,
-      isolate: false,
-      mayHaveRun: false,
-    };
+    const entry = entryOf(work);
     const suspect = this.#screen(entry);
     if (suspect !== undefined) return [...suspect, ...this.#fill(nowMs)];
     if (this.#waitMs(work, slots) > work.deadlineMs - nowMs) return [fail(work, 'overloaded')];
@@ -457,11 +425,3 @@
     return { type: 'fail', ticket: entry.ticket, failure: honest };
   }
 }
-
-function fail(work: Work, code: NotRunCode): DispatchEffect {
-  return { type: 'fail', ticket: work.ticket, failure: notRun(code) };
-}
-
-function stopOf(run: Run): DispatchEffect {
-  return { type: 'stopRun', runId: run.runId };
-}
