--- a/src/transport/entries.ts
+++ b/src/transport/entries.ts
@@ -22,6 +22,7 @@
   ServiceName,
 } from '../state/index.js';
 import type { Result } from 'ts-results-es';
+import { AgentLink } from './agentlinks.js';
 import { keep, replay } from './answers.js';
 import type { Answer, Reply } from './answers.js';
 import { BackendPool } from './backends.js';
@@ -34,7 +35,6 @@
 import type { ForwardHandle, ForwardedCall } from './forwards.js';
 import { GrantClient } from './headroom.js';
 import type { Logger } from './logs.js';
-import { AgentClient } from './peers.js';
 
 /** A request from a caller or from another entry VM, with its body. */
 export interface Incoming {
@@ -73,9 +73,6 @@
 
 const HEALTH_MS = 1_000;
 
-/** Time after which a lost agent is called again, in milliseconds. */
-const AGENT_RETRY_MS = 500;
-
 /** Time for which a caller's failure waits until a crash was reported, in milliseconds. */
 const CRASH_REPORT_WAIT_MS = 300;
 
@@ -112,7 +109,7 @@
 
   readonly #grants: GrantClient;
 
-  readonly #agent: AgentClient;
+  readonly #agent: AgentLink;
 
   readonly #ended = new AbortController();
 
@@ -122,9 +119,6 @@
 
   readonly #reportedSplits = new Map<string, string>();
 
-  /** Items for the agent that were not reported yet. */
-  #unreported: ReplicaItem[] = [];
-
   #crashReport: Promise<unknown> = Promise.resolve();
 
   #timers: NodeJS.Timeout[] = [];
@@ -141,7 +135,7 @@
     this.#cfg = cfg;
     this.#log = log;
     this.#clock = clock;
-    this.#agent = new AgentClient(cfg.agentAddress);
+    this.#agent = new AgentLink(cfg.agentAddress, cfg.id, log);
     this.#grants = new GrantClient(cfg.id, clock);
     this.#machine = new EntryMachine(
       { id: cfg.id, incarnation: this.incarnation, failureDomain: cfg.failureDomain },
@@ -169,7 +163,7 @@
       setInterval(() => this.#report(), REPORT_MS),
       setInterval(() => this.#checkServers(), HEALTH_MS),
     ];
-    this.#followAgent();
+    this.#agent.follow((update) => this.#learn(update), this.#ended.signal);
   }
 
   /** Stops gracefully: resolves when work has ended and records were kept long enough. */
@@ -423,19 +417,6 @@
     this.#feed({ type: 'serverSign', server, leaving });
   }
 
-  async #followAgent(): Promise<void> {
-    const { signal } = this.#ended;
-    while (!signal.aborted) {
-      const req = { entryVm: this.#cfg.id };
-
-      const failure = await this.#agent.subscribe(req, (update) => this.#learn(update), signal);
-      if (signal.aborted) return;
-      this.#log('agentLost', { reason: failure.message });
-
-      await pause(AGENT_RETRY_MS, signal);
-    }
-  }
-
   #learn(update: AgentUpdate): void {
     if (!this.#informed) this.#log('agentFound');
     if (update.type === 'members') {
@@ -463,17 +444,14 @@
 
   async #report(): Promise<void> {
     const { nowMs, wallMs } = this.#clock();
-    const items = [...this.#unreported, ...this.#changedSplits(wallMs)];
-    this.#unreported = [];
-    const reported = await this.#agent.report({
+    this.#agent.queue(this.#changedSplits(wallMs));
+    await this.#agent.report({
       incarnation: this.incarnation,
       phase: this.#phase,
       epoch: this.#machine.epoch(nowMs),
       ...this.#addresses,
       dispatching: [...this.#machine.dispatching()],
-      items,
     });
-    if (reported.isErr()) this.#unreported.push(...items);
   }
 
   #changedSplits(wallMs: number): readonly ReplicaItem[] {
@@ -488,7 +466,7 @@
   }
 
   #reportCrashes(items: readonly ReplicaItem[]): void {
-    this.#unreported.push(...items);
+    this.#agent.queue(items);
     this.#crashReport = this.#report();
   }
 }
