--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,10 +28,15 @@
     'no-restricted-imports': [
       'error',
       {
-        patterns: LAYERS.slice(i + 1).map((above) => ({
-          group: [`**/${above}/**`],
-          message: 'imports go downwards',
-        })),
+        patterns: [
+          ...LAYERS.slice(i + 1).map((above) => ({
+            group: [`**/${above}/**`],
+            message: 'imports go downwards',
+          })),
+          ...(layer === 'bin'
+            ? []
+            : [{ group: ['**/platform/**'], message: 'only programs choose a platform' }]),
+        ],
       },
     ],
   },
@@ -53,7 +58,7 @@
 };
 
 export default [
-  { ignores: ['dist/', 'coverage/', 'src/protocol/gen/'] },
+  { ignores: ['dist/', 'target/', 'coverage/', 'src/protocol/gen/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/bin/programs.ts
+++ b/src/bin/programs.ts
@@ -1,5 +1,5 @@
 /** What all programs share: exit codes, files of settings, an orderly end. */
-import { readFileSync } from 'node:fs';
+import { readFileSync, watchFile } from 'node:fs';
 import meow from 'meow';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -30,16 +30,20 @@
 }
 
 /** Reads a process's own settings file, or ends the process with every issue. */
-function loadConfig<Schema extends z.ZodType>(
+function loadConfig<Schema extends z.ZodType>(schema: Schema, file: string): z.infer<Schema> {
+  const cfg = readConfig(schema, file);
+  return cfg.isOk() ? cfg.value : failUse(cfg.error.map(formatIssue).join('\n'));
+}
+
+/** Reads and checks a process's own settings file. */
+export function readConfig<Schema extends z.ZodType>(
   schema: Schema,
-  file: string | undefined,
-): z.infer<Schema> {
-  if (file === undefined) return failUse('--config FILE is missing');
+  file: string,
+): Result<z.infer<Schema>, readonly SettingsIssue[]> {
   const input = readJson(file);
-  if (input.isErr()) return failUse(formatIssue(input.error));
+  if (input.isErr()) return Err([input.error]);
   const parsed = schema.safeParse(input.value);
-  if (parsed.success) return parsed.data;
-  return failUse(issuesOfParse(parsed.error, input.value).map(formatIssue).join('\n'));
+  return parsed.success ? Ok(parsed.data) : Err(issuesOfParse(parsed.error, input.value));
 }
 
 /** Ends the process because it was called wrongly. */
@@ -52,6 +56,8 @@
 export interface Daemon<Config> {
   readonly cfg: Config;
   readonly log: Logger;
+  /** The settings file. */
+  readonly file: string;
 }
 
 /**
@@ -77,13 +83,23 @@
   Exit codes: 0 stopped, 1 failed, 2 wrong use
 `;
   const cli = meow(help, { importMeta: meta, flags: { config: { type: 'string' } } });
-  const cfg = loadConfig(schema, cli.flags.config);
+  const file = cli.flags.config ?? failUse('--config FILE is missing');
+  const cfg = loadConfig(schema, file);
   const log = createLogger({ program, entryVm: cfg.id }, { level: cfg.logLevel });
   process.on('uncaughtException', (err) => {
     log('invariantBroken', { reason: err.stack });
     process.exit(EXIT_FAILED);
   });
-  return { cfg, log };
+  return { cfg, log, file };
+}
+
+/** Time between two looks at the settings file, in milliseconds. */
+const RELOAD_MS = 2_000;
+
+/** Runs `reload` on SIGHUP, and when the settings file has changed without a signal. */
+export function onReload(reload: () => void, file: string): void {
+  process.on('SIGHUP', reload);
+  watchFile(file, { interval: RELOAD_MS, persistent: false }, reload);
 }
 
 /** Runs `stop` once on the first SIGTERM or SIGINT, then ends the process. */
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,18 +1,27 @@
 /** The decisions: pure state machines, to which the clock and the random source are passed in. */
 export * from './agents.js';
+export * from './attempts.js';
 export * from './budgets.js';
 export type * from './callflows.js';
 export * from './calls.js';
 export * from './claims.js';
 export * from './crashes.js';
 export * from './entries.js';
+export * from './fleetviews.js';
 export * from './grants.js';
 export * from './items.js';
 export * from './lookups.js';
 export * from './members.js';
 export * from './owners.js';
+export * from './peerviews.js';
+export * from './placers.js';
 export * from './ranks.js';
+export * from './regionshares.js';
 export * from './rendezvous.js';
+export * from './repeats.js';
+export * from './serverloads.js';
 export * from './shifts.js';
+export * from './waitlists.js';
+export * from './warmups.js';
 export * from './writes.js';
 export * from './works.js';
--- /dev/null
+++ b/src/coordination/placers.ts
@@ -0,0 +1,403 @@
+/** Chooses a backend server for a request by the time at which the answer is expected. */
+import { hashText } from '../state/index.js';
+import type {
+  BackendServerId,
+  EntryVmId,
+  FailureDomainId,
+  RegionId,
+  RoutePlan,
+  ServiceName,
+} from '../state/index.js';
+import type { FleetView, KnownServer } from './fleetviews.js';
+import { RegionShares } from './regionshares.js';
+import type { RegionRoom } from './regionshares.js';
+import { rendezvousTop } from './rendezvous.js';
+import { ServerLoad } from './serverloads.js';
+import { ewma } from './slots.js';
+import { Warmups } from './warmups.js';
+
+/** Where the entry VM stands, and what moving work away from there costs. */
+export interface PlacerOptions {
+  readonly self: EntryVmId;
+  readonly home: FailureDomainId;
+  readonly regions: ReadonlyMap<FailureDomainId, RegionId>;
+  readonly maxShift: number;
+  /** Requests a second over the tolerated rate that a cold backend server bears, as a factor. */
+  readonly coldOverage: number;
+}
+
+/** A request that looks for a backend server. */
+export interface PlaceRequest {
+  readonly route: RoutePlan;
+  readonly service: ServiceName;
+  /** What requests on the same object share; undefined for none. */
+  readonly key: string | undefined;
+  /** Time since the request arrived, in milliseconds. */
+  readonly waitedMs: number;
+  /** Time until the request is of no use, in milliseconds. */
+  readonly leftMs: number;
+  /** Backend servers that it was sent to before. */
+  readonly tried: ReadonlySet<BackendServerId>;
+  /** Whether it may run on servers that it was sent to before, when there are no others. */
+  readonly mayReuse: boolean;
+}
+
+/** A backend server that was chosen. */
+export interface Placement {
+  readonly server: KnownServer;
+  readonly warm: boolean;
+  /** Time until the answer, in milliseconds. */
+  readonly expectedMs: number;
+  /** Work at the server beyond its slots makes the time unfit for learning. */
+  readonly queued: boolean;
+}
+
+export type PlaceOutcome =
+  | { readonly type: 'place'; readonly placement: Placement }
+  /** Every fit server is busy; there may be room soon. */
+  | { readonly type: 'wait' }
+  /** It can't end in time. */
+  | { readonly type: 'late'; readonly waitMs: number; readonly expectedMs: number }
+  | { readonly type: 'noServer' };
+
+/** Work expected of a run before any was seen, over the route's latency objective. */
+const FIRST_COLD = 1.6;
+const FIRST_WARM = 0.5;
+
+/** Cost of passing bytes between failure domains and regions, in milliseconds for each byte. */
+const DOMAIN_MS_PER_BYTE = 0.002;
+const REGION_MS_PER_BYTE = 0.006;
+
+/** Round trips assumed between failure domains and regions until they are measured, in ms. */
+const DOMAIN_TRIP_MS = 3;
+const REGION_TRIP_MS = 80;
+
+/** Cost of a server whose recent runs all failed, in milliseconds. */
+const FAILURE_COST_MS = 3_000;
+
+/** Advantage of the server that a key belongs to, in milliseconds. */
+const STAY_MS = 30;
+
+/** Work over its slots that a server may hold, by rank, over its slots. */
+const URGENT_QUEUE = 0.8;
+const OTHER_QUEUE = 0.34;
+
+/** Part of the latency objective after which waiting work counts as urgent. */
+const AGED = 0.3;
+
+/** Part of the latency objective that work may wait at least before it is refused. */
+const MIN_WAIT = 0.25;
+
+interface RunTime {
+  warmMs: number;
+  coldMs: number;
+  bytes: number;
+}
+
+interface Candidate extends Placement {
+  readonly cost: number;
+  readonly waitMs: number;
+  readonly occupancy: number;
+}
+
+export class Placer {
+  readonly #options: PlacerOptions;
+
+  readonly #view: FleetView;
+
+  readonly #loads = new Map<BackendServerId, ServerLoad>();
+
+  readonly #shares = new Map<ServiceName, RegionShares>();
+
+  readonly #times = new Map<string, RunTime>();
+
+  readonly #serviceMs = new Map<ServiceName, number>();
+
+  readonly #tripMs = new Map<FailureDomainId, number>();
+
+  readonly #warmups: Warmups;
+
+  #live: readonly EntryVmId[];
+
+  constructor(view: FleetView, options: PlacerOptions) {
+    this.#view = view;
+    this.#options = options;
+    this.#warmups = new Warmups(options.self);
+    this.#live = [options.self];
+  }
+
+  /** Takes the entry VMs that are live. */
+  setLive(live: readonly EntryVmId[]): void {
+    this.#live = live;
+  }
+
+  load(server: BackendServerId): ServerLoad {
+    const load = this.#loads.get(server) ?? new ServerLoad();
+    this.#loads.set(server, load);
+    return load;
+  }
+
+  /** Remembers which server has handled a request's object. */
+  handled(server: BackendServerId, route: RoutePlan, key: string, nowMs: number): void {
+    this.load(server).warmed(warmKey(route, key), nowMs);
+  }
+
+  forget(server: BackendServerId): void {
+    this.#loads.delete(server);
+    this.#warmups.forget(server);
+  }
+
+  /** Measures the way to a failure domain by the time that a connection took. */
+  connected(domain: FailureDomainId, tookMs: number): void {
+    const before = this.#tripMs.get(domain);
+    this.#tripMs.set(domain, before === undefined ? tookMs : Math.min(before * 1.1, tookMs));
+  }
+
+  /** Learns from a whole answer. */
+  learn(
+    route: RoutePlan,
+    placement: Placement,
+    tookMs: number,
+    bytes: number,
+    nowMs: number,
+  ): void {
+    const times = this.#time(route);
+    times.bytes = ewma(times.bytes, bytes);
+    const { record } = placement.server;
+    const load = this.load(record.id);
+    const runMs = Math.max(1, tookMs - this.#trip(record.failureDomain));
+    this.#serviceMs.set(record.service, ewma(this.#serviceMs.get(record.service), runMs));
+    if (placement.queued) return;
+    const expected = placement.warm ? times.warmMs : times.coldMs;
+    load.timed(runMs / expected, nowMs);
+    if (placement.warm) times.warmMs = ewma(times.warmMs, runMs);
+    else times.coldMs = ewma(times.coldMs, runMs);
+  }
+
+  /** Brings the shares of each region up to date. */
+  tick(nowMs: number): void {
+    const services = new Set(this.#view.plan?.services.map((service) => service.name));
+    this.#shares.forEach((shares, service) => {
+      if (!services.has(service)) this.#shares.delete(service);
+      else shares.update(this.#rooms(service, nowMs), this.#meanMs(service), nowMs);
+    });
+  }
+
+  place(request: PlaceRequest, nowMs: number): PlaceOutcome {
+    const candidates = this.#candidates(request, nowMs);
+    if (candidates.length === 0) return { type: 'noServer' };
+    const ranked = [...candidates].sort((a, b) => a.cost - b.cost);
+    const room = this.#room(request);
+    const fit = ranked.find(
+      (each) =>
+        each.occupancy < each.server.record.slots * (1 + room) && this.#mayWarmUp(each, nowMs),
+    );
+    const best = ranked[0];
+    if (best === undefined) return { type: 'noServer' };
+    const chosen = fit ?? best;
+    if (this.#isLate(request, chosen)) {
+      return { type: 'late', waitMs: chosen.waitMs, expectedMs: chosen.expectedMs };
+    }
+    return fit === undefined ? { type: 'wait' } : { type: 'place', placement: fit };
+  }
+
+  /** Work over its slots that a server may have when this request is added. */
+  #room({ route, service, waitedMs }: PlaceRequest): number {
+    if (waitedMs > route.objectiveMs * AGED) return URGENT_QUEUE;
+    const most = Math.min(
+      ...(this.#view.plan?.routes ?? [])
+        .filter((each) => each.targets.some((target) => target.service === service))
+        .map((each) => each.priority),
+    );
+    return route.priority <= most ? URGENT_QUEUE : OTHER_QUEUE;
+  }
+
+  /** Refuses what must wait so long that others would miss their objective as well. */
+  #isLate({ route, waitedMs, leftMs }: PlaceRequest, best: Candidate): boolean {
+    if (best.waitMs <= 0 && waitedMs <= 0) return false;
+    if (best.expectedMs > leftMs) return true;
+    const { warmMs } = this.#time(route);
+    const patience = Math.max(route.objectiveMs * MIN_WAIT, route.objectiveMs - warmMs);
+    return waitedMs + best.waitMs > patience;
+  }
+
+  #mayWarmUp(candidate: Candidate, nowMs: number): boolean {
+    const { server } = candidate;
+    if (!this.#view.isCold(server, nowMs)) return true;
+    const rate = this.#view.service(server.record.service)?.warmupPerS ?? 1;
+    return this.#warmups.take(
+      server.record.id,
+      rate * this.#options.coldOverage,
+      this.#live,
+      nowMs,
+    );
+  }
+
+  #candidates(request: PlaceRequest, nowMs: number): readonly Candidate[] {
+    const usable = this.#usable(request, nowMs);
+    const region = this.#regionFor(request, usable, nowMs);
+    const near = usable.filter((each) => this.#regionOf(each.record.failureDomain) === region);
+    const first = this.#homeOf(request, near);
+    return near.map((server) => this.#candidate(request, server, server === first, nowMs));
+  }
+
+  #usable(
+    { route, service, tried, mayReuse }: PlaceRequest,
+    nowMs: number,
+  ): readonly KnownServer[] {
+    const { regions } = this.#options;
+    const allowed = this.#view.usable(service).filter(({ record }) => {
+      const region = regions.get(record.failureDomain);
+      const atHome =
+        route.allowedRegions.length === 0 ||
+        (region !== undefined && route.allowedRegions.includes(region));
+      return atHome && !this.load(record.id).resting(nowMs);
+    });
+    const fresh = allowed.filter(({ record }) => !tried.has(record.id));
+    return fresh.length === 0 && mayReuse ? allowed : fresh;
+  }
+
+  /** The region that an object belongs to, by weighted rendezvous hashing. */
+  #regionFor(
+    { route, key, service }: PlaceRequest,
+    usable: readonly KnownServer[],
+    nowMs: number,
+  ): RegionId | undefined {
+    const open = new Set(usable.map((each) => this.#regionOf(each.record.failureDomain)));
+    const { shares } = this.#sharesOf(service, nowMs);
+    let best: RegionId | undefined;
+    let bestScore = -Infinity;
+    open.forEach((region) => {
+      if (region === undefined) return;
+      const text = `${warmKey(route, key ?? String(nowMs))}|${region}`;
+      const score = weightedScore(text, Math.max(MIN_SHARE, shares.get(region) ?? 0));
+      if (score <= bestScore) return;
+      best = region;
+      bestScore = score;
+    });
+    return best;
+  }
+
+  /** The server that an object belongs to, among those of its region. */
+  #homeOf({ route, key }: PlaceRequest, servers: readonly KnownServer[]): KnownServer | undefined {
+    if (key === undefined) return undefined;
+    const ids = servers.map((server) => server.record.id);
+    const [first] = rendezvousTop(warmKey(route, key), ids, 1);
+    return servers.find((server) => server.record.id === first);
+  }
+
+  #regionOf(domain: FailureDomainId): RegionId | undefined {
+    return this.#options.regions.get(domain);
+  }
+
+  #candidate(request: PlaceRequest, server: KnownServer, first: boolean, nowMs: number): Candidate {
+    const { record } = server;
+    const load = this.load(record.id);
+    const times = this.#time(request.route);
+    const warm =
+      request.key !== undefined &&
+      (load.isWarm(warmKey(request.route, request.key), nowMs) ||
+        (first && !this.#view.isCold(server, nowMs)));
+    const occupancy = load.occupancy(nowMs);
+    const speed = load.speedFactor(nowMs);
+    const ahead = Math.max(0, occupancy + 1 - record.slots);
+    const waitMs = (ahead / record.slots) * this.#meanMs(record.service) * speed;
+    const runMs = (warm ? times.warmMs : times.coldMs) * speed;
+    const expectedMs = this.#trip(record.failureDomain) + waitMs + runMs;
+    const bytesMs = this.#byteMs(record.failureDomain) * times.bytes;
+    const cost =
+      expectedMs + bytesMs + load.failureRate(nowMs) * FAILURE_COST_MS - (first ? STAY_MS : 0);
+    return { server, warm, expectedMs, queued: ahead > 0, cost, waitMs, occupancy };
+  }
+
+  #sharesOf(service: ServiceName, nowMs: number): RegionShares {
+    const known = this.#shares.get(service);
+    if (known !== undefined) return known;
+    const { home, regions, maxShift } = this.#options;
+    const homeRegion = this.#regionOf(home) ?? ('' as RegionId);
+    const near = [...regions.values()].filter((region) => region === homeRegion).length;
+    const demand = near / regions.size;
+    const shares = new RegionShares({ home: homeRegion, demand, maxShift });
+    shares.update(this.#rooms(service, nowMs), this.#meanMs(service), nowMs);
+    this.#shares.set(service, shares);
+    return shares;
+  }
+
+  #rooms(service: ServiceName, nowMs: number): readonly RegionRoom[] {
+    const rooms = new Map<RegionId, { slots: number; work: number; distanceMs: number }>();
+    const bytes = this.#bytesOf(service);
+    this.#view.usable(service).forEach(({ record }) => {
+      const load = this.load(record.id);
+      const region = this.#regionOf(record.failureDomain);
+      if (region === undefined || load.resting(nowMs)) return;
+      const distanceMs =
+        this.#trip(record.failureDomain) + this.#byteMs(record.failureDomain) * bytes;
+      const room = rooms.get(region) ?? { slots: 0, work: 0, distanceMs };
+      room.slots += record.slots;
+      room.work += load.occupancy(nowMs);
+      room.distanceMs = Math.min(room.distanceMs, distanceMs);
+      rooms.set(region, room);
+    });
+    return [...rooms].map(([region, { slots, work, distanceMs }]) => ({
+      region,
+      slots,
+      utilization: work / slots,
+      distanceMs,
+    }));
+  }
+
+  /** Usual size of the service's answers. */
+  #bytesOf(service: ServiceName): number {
+    const routes = (this.#view.plan?.routes ?? []).filter((route) =>
+      route.targets.some((target) => target.service === service),
+    );
+    const sizes = routes.flatMap((route) => this.#times.get(route.name)?.bytes ?? []);
+    return sizes.length === 0 ? 0 : sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+  }
+
+  #byteMs(domain: FailureDomainId): number {
+    const { home, regions } = this.#options;
+    if (domain === home) return 0;
+    return regions.get(domain) === regions.get(home) ? DOMAIN_MS_PER_BYTE : REGION_MS_PER_BYTE;
+  }
+
+  #trip(domain: FailureDomainId): number {
+    const known = this.#tripMs.get(domain);
+    if (known !== undefined) return known;
+    const { home, regions } = this.#options;
+    if (domain === home) return 0;
+    return regions.get(domain) === regions.get(home) ? DOMAIN_TRIP_MS : REGION_TRIP_MS;
+  }
+
+  #meanMs(service: ServiceName): number {
+    return this.#serviceMs.get(service) ?? DEFAULT_RUN_MS;
+  }
+
+  #time(route: RoutePlan): RunTime {
+    const known = this.#times.get(route.name);
+    if (known !== undefined) return known;
+    const usualMs = Math.min(route.objectiveMs, route.timeoutMs / 2);
+    const time = { warmMs: usualMs * FIRST_WARM, coldMs: usualMs * FIRST_COLD, bytes: 0 };
+    this.#times.set(route.name, time);
+    return time;
+  }
+}
+
+/** Usual time of a run before any was seen, in milliseconds. */
+const DEFAULT_RUN_MS = 400;
+
+const HASH_RANGE = 2 ** 32;
+const MIN_UNIT = 1e-9;
+
+/** Weight of a region without a share: it is taken when no other is open. */
+const MIN_SHARE = 1e-6;
+
+/** Names an object among those that a server may remember. */
+function warmKey(route: RoutePlan, key: string): string {
+  return `${route.name}|${key}`;
+}
+
+function weightedScore(text: string, weight: number): number {
+  const unit = Math.max(MIN_UNIT, (hashText(text) + 0.5) / HASH_RANGE);
+  return -weight / Math.log(unit);
+}
--- /dev/null
+++ b/src/protocol/facts.ts
@@ -0,0 +1,58 @@
+/** What the platform's store holds, in the project's own terms, and the store as it is used here. */
+import type { Result } from 'ts-results-es';
+import type { FactKind, PeerRecord } from '../coordination/index.js';
+import type {
+  BackendServerId,
+  BackendServerRecord,
+  FailureDomainId,
+  SteeringPlan,
+} from '../state/index.js';
+
+/** One fact, or the end of one. */
+export type Fact =
+  | { readonly type: 'plan'; readonly plan: SteeringPlan }
+  | { readonly type: 'server'; readonly record: BackendServerRecord }
+  | { readonly type: 'serverGone'; readonly id: BackendServerId }
+  | { readonly type: 'evacuation'; readonly domain: FailureDomainId; readonly active: boolean }
+  /** Another writer's object, which says nothing that can be used. */
+  | { readonly type: 'unreadable'; readonly name: string; readonly issue: string };
+
+export interface FactBatch {
+  readonly facts: readonly Fact[];
+  /** The store's revision up to which the facts are complete; a watch goes on from it. */
+  readonly revision: number;
+  /** The revision at which the newest of these facts was written; 0 without facts. */
+  readonly changedAt: number;
+}
+
+/** Why a call to the store brought nothing. */
+export type StoreFailure =
+  /** No answer, or a connection that broke. A write may have taken effect. */
+  | 'unreachable'
+  /** The store turned the call away; nothing was done. */
+  | 'refused'
+  /** The history since that revision is no longer kept. */
+  | 'history_gone'
+  | 'unreadable'
+  | 'conflict';
+
+/** The platform's store. */
+export interface FactStore {
+  /** All facts of a kind. */
+  list(kind: FactKind): Promise<Result<FactBatch, StoreFailure>>;
+  /**
+   * Waits for facts that are newer than a revision.
+   *
+   * @param holdMs - how long to wait; then the batch is empty.
+   */
+  watch(
+    kind: FactKind,
+    since: number,
+    holdMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<FactBatch, StoreFailure>>;
+  /** Where entry VMs wrote that they are. */
+  peers(): Promise<Result<readonly PeerRecord[], StoreFailure>>;
+  /** Writes where this entry VM is. */
+  announce(record: PeerRecord): Promise<Result<void, StoreFailure>>;
+}
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -92,6 +92,7 @@
   no_entry_vm: BUSY,
   no_grant: BUSY,
   no_server: BUSY,
+  no_settings: BUSY,
   overloaded: BUSY,
   quarantined: 422,
   queue_full: BUSY,
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -7,6 +7,7 @@
 export * from './issues.js';
 export * from './members.js';
 export * from './outcomes.js';
+export type * from './plans.js';
 export * from './queues.js';
 export * from './records.js';
 export * from './replicas.js';
--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -12,6 +12,7 @@
   'no_entry_vm',
   'no_grant',
   'no_server',
+  'no_settings',
   'overloaded',
   'quarantined',
   'queue_full',
--- /dev/null
+++ b/src/transport/beacons.ts
@@ -0,0 +1,201 @@
+/** Heartbeats between entry VMs over UDP, and the handing over of facts over TCP. */
+import dgram from 'node:dgram';
+import http from 'node:http';
+import { decode, encode } from '@msgpack/msgpack';
+import got from 'got';
+import type {
+  FactKind,
+  FactSnapshot,
+  FleetView,
+  Heartbeat,
+  PeerRecord,
+  PeerView,
+} from '../coordination/index.js';
+import { HeartbeatMessage } from '../protocol/index.js';
+import type { Endpoint, Incarnation } from '../state/index.js';
+import type { Clock } from './clocks.js';
+import type { Logger } from './logs.js';
+import { splitEndpoint } from './peers.js';
+
+/** Time between two heartbeats, in milliseconds: four fit into the silence that counts as death. */
+const BEAT_MS = 600;
+
+/** Entry VMs of other regions that get each heartbeat. */
+const FAR_PEERS = 2;
+
+/** Entry VMs of the own region that get each heartbeat at most. */
+const NEAR_PEERS = 24;
+
+/** Time for which newer facts elsewhere may be on their way from the store, in milliseconds. */
+const BEHIND_MS = 500;
+
+/** Time for another entry VM to hand over its facts, in milliseconds. */
+const FACTS_TIMEOUT_MS = 1_000;
+
+const FACTS_PATH = '/v1/facts';
+
+export interface BeaconOptions {
+  readonly self: PeerRecord;
+  readonly incarnation: Incarnation;
+  readonly seeds: readonly Endpoint[];
+  readonly peers: PeerView;
+  readonly view: FleetView;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly ready: () => boolean;
+  readonly stopping: () => boolean;
+  /** Told when the live entry VMs have changed. */
+  readonly onLive: () => void;
+  /** Told of kinds that another entry VM knew better. */
+  readonly onBehind: (kinds: readonly FactKind[]) => void;
+}
+
+export class Beacon {
+  readonly #options: BeaconOptions;
+
+  readonly #socket = dgram.createSocket('udp4');
+
+  readonly #server: http.Server;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #liveBefore = '';
+
+  #behindSinceMs: number | undefined;
+
+  #asking = false;
+
+  constructor(options: BeaconOptions) {
+    this.#options = options;
+    this.#socket.on('message', (bytes) => this.#heard(bytes));
+    this.#socket.on('error', (err) => options.log('peerFailed', { reason: err.message }));
+    this.#server = http.createServer((req, res) => {
+      if (req.url !== FACTS_PATH) res.writeHead(404).end();
+      else {
+        res.writeHead(200, { 'content-type': 'application/json' });
+        res.end(JSON.stringify(options.view.snapshot()));
+      }
+    });
+  }
+
+  async start(): Promise<void> {
+    const { host, port } = splitEndpoint(this.#options.self.peerAddress);
+    await new Promise<void>((resolve) => {
+      this.#socket.bind(port, host, resolve);
+    });
+    await new Promise<void>((resolve) => {
+      this.#server.listen(port, host, resolve);
+    });
+    this.#timer = setInterval(() => this.#beat(), BEAT_MS);
+    this.#beat();
+  }
+
+  /** Tells others at once, as when this entry VM begins to stop. */
+  tell(): void {
+    this.#beat();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#socket.close();
+    this.#server.close();
+  }
+
+  #beat(): void {
+    const { self, incarnation, peers, view, ready, stopping, seeds } = this.#options;
+    const nowMs = this.#now();
+    const heartbeat: Heartbeat = {
+      peer: self,
+      incarnation,
+      ready: ready(),
+      stopping: stopping(),
+      revisions: view.revisions,
+      near: [],
+    };
+    const near = peers.records.filter((peer) => peer.region === self.region);
+    const far = peers.records.filter((peer) => peer.region !== self.region);
+    const toNear = encode(heartbeat);
+    sample(near, NEAR_PEERS).forEach((peer) => this.#send(toNear, peer.peerAddress));
+    const toFar = encode({ ...heartbeat, near: peers.near(nowMs, ready() && !stopping()) });
+    sample(far, FAR_PEERS).forEach((peer) => this.#send(toFar, peer.peerAddress));
+    if (peers.records.length === 0) seeds.forEach((seed) => this.#send(toFar, seed));
+    this.#noteLive(nowMs);
+    this.#catchUp(nowMs);
+  }
+
+  #send(bytes: Uint8Array, to: Endpoint): void {
+    const { host, port } = splitEndpoint(to);
+    // A heartbeat that is not sent is like one that is lost: the next one follows.
+    this.#socket.send(bytes, port, host, () => undefined);
+  }
+
+  #heard(bytes: Buffer): void {
+    let content: unknown;
+    try {
+      content = decode(bytes);
+    } catch (err) {
+      this.#options.log('peerFailed', { reason: String(err) });
+      return;
+    }
+    const message = HeartbeatMessage.safeParse(content);
+    if (!message.success) {
+      this.#options.log('peerFailed', { reason: message.error.message });
+      return;
+    }
+    const nowMs = this.#now();
+    const isNew = this.#options.peers.heard(message.data, nowMs);
+    if (isNew) this.#noteLive(nowMs);
+  }
+
+  #noteLive(nowMs: number): void {
+    const live = this.#options.peers.live(nowMs);
+    const now = [...live].sort().join(' ');
+    if (now === this.#liveBefore) return;
+    this.#liveBefore = now;
+    this.#options.log('membersChanged', { live: live.length, ids: now });
+    this.#options.onLive();
+  }
+
+  /** Asks another entry VM for facts that the store has not told this one for a while. */
+  #catchUp(nowMs: number): void {
+    const { peers, view } = this.#options;
+    const ahead = peers.ahead(view.revisions, nowMs);
+    if (ahead === undefined) {
+      this.#behindSinceMs = undefined;
+      return;
+    }
+    this.#behindSinceMs ??= nowMs;
+    if (nowMs - this.#behindSinceMs >= BEHIND_MS) this.#ask(ahead);
+  }
+
+  async #ask(peer: PeerRecord): Promise<void> {
+    if (this.#asking) return;
+    this.#asking = true;
+    const { view, log, onBehind } = this.#options;
+    try {
+      const snapshot = await got(`http://${peer.peerAddress}${FACTS_PATH}`, {
+        retry: { limit: 0 },
+        timeout: { request: FACTS_TIMEOUT_MS },
+      }).json<FactSnapshot>();
+      const kinds = view.merge(snapshot, this.#now());
+      if (kinds.length > 0) {
+        log('factsFromPeer', { peer: peer.id, kinds, revisions: snapshot.revisions });
+        onBehind(kinds);
+      }
+    } catch (err) {
+      log('peerFailed', { peer: peer.id, reason: String(err) });
+    } finally {
+      this.#asking = false;
+    }
+  }
+
+  #now(): number {
+    return this.#options.clock().nowMs;
+  }
+}
+
+function sample<Item>(items: readonly Item[], count: number): readonly Item[] {
+  if (items.length <= count) return items;
+  const start = Math.floor(Math.random() * items.length);
+  return Array.from({ length: count }, (_, i) => items[(start + i) % items.length] as Item);
+}
--- /dev/null
+++ b/src/transport/carriers.ts
@@ -0,0 +1,485 @@
+/** Carries callers' requests to backend servers and their answers back. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Waitlist, afterAttempt } from '../coordination/index.js';
+import type {
+  AttemptEnd,
+  FleetView,
+  PlaceOutcome,
+  Placement,
+  Placer,
+  RepeatBudget,
+} from '../coordination/index.js';
+import { CODE_HEADER, OUTCOME_HEADER, endToEnd, outcomeText, statusOf } from '../protocol/index.js';
+import type { CallerFields, Dialect, ServerFields } from '../protocol/index.js';
+import { asUnknown, notRun, unknown } from '../state/index.js';
+import type { BackendServerId, Failure, RoutePlan, ServiceName } from '../state/index.js';
+import { readHead } from './bodies.js';
+import type { Clock } from './clocks.js';
+import type { Logger } from './logs.js';
+import type { NodeMetrics } from './nodemetrics.js';
+import type { UpstreamPool } from './pools.js';
+import type { UpstreamAnswer, UpstreamCall, UpstreamEnd } from './upstreams.js';
+
+/** Requests that may wait for room in this entry VM. */
+const MAX_WAITING = 200;
+
+/** Time for callers that state no deadline on a route without a timeout, in milliseconds. */
+const DEFAULT_LEFT_MS = 10_000;
+
+/** Pause that a caller is asked for at least, and its random part, in milliseconds. */
+const RETRY_AFTER_MS = 200;
+const RETRY_AFTER_JITTER_MS = 400;
+
+/** Age of a try, over its expected time, at which idempotent work is tried elsewhere as well. */
+const SLOW_FACTOR = 2;
+
+/** Part of the latency objective below which no try counts as slow. */
+const SLOW_OBJECTIVE = 0.8;
+
+const SERVICE_UNAVAILABLE = 503;
+
+export interface CarrierOptions {
+  readonly view: FleetView;
+  readonly placer: Placer;
+  readonly budget: RepeatBudget;
+  readonly pool: UpstreamPool;
+  readonly dialect: Dialect;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: NodeMetrics;
+  /** Entry VMs that may be repeating work. */
+  readonly entryVms: () => number;
+  /** Whether this entry VM takes no more connections. */
+  readonly stopping: () => boolean;
+}
+
+/** One try of a request at one backend server. */
+interface Try {
+  readonly placement: Placement;
+  readonly startedMs: number;
+  call: UpstreamCall | undefined;
+  slow: NodeJS.Timeout | undefined;
+}
+
+/** One caller's request from its arrival to its end. */
+interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly fields: CallerFields;
+  readonly route: RoutePlan;
+  readonly service: ServiceName;
+  readonly body: Buffer | undefined;
+  readonly arrivedMs: number;
+  /** When the caller or the route gives up. */
+  readonly endsMs: number;
+  readonly tried: Set<BackendServerId>;
+  readonly open: Set<Try>;
+  tries: number;
+  /** Backend servers that may have run it. */
+  runs: number;
+  waiting: boolean;
+  ended: boolean;
+  timer: NodeJS.Timeout | undefined;
+}
+
+export class Carrier {
+  readonly #options: CarrierOptions;
+
+  readonly #waitlist = new Waitlist<Exchange>();
+
+  #inFlight = 0;
+
+  constructor(options: CarrierOptions) {
+    this.#options = options;
+  }
+
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Takes a caller's request. */
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { view, dialect, log } = this.#options;
+    const fields = dialect.readCaller(req.headers);
+    const arrivedMs = this.#now();
+    const { plan } = view;
+    if (plan === undefined || !view.informed) {
+      this.#fail(res, notRun('no_settings'), RETRY_AFTER_MS);
+      log('requestNotRun', { request: fields.requestId, code: 'no_settings' });
+      return;
+    }
+    const url = req.url ?? '/';
+    const host = (req.headers.host ?? '').toLowerCase();
+    const route =
+      view.route(host, pathOf(url)) ?? view.route(host.replace(/:\d+$/, ''), pathOf(url));
+    const service = route === undefined ? undefined : view.nextService(route);
+    if (route === undefined || service === undefined) {
+      req.resume();
+      this.#fail(res, notRun('unknown_service'));
+      log('requestNotRun', {
+        request: fields.requestId,
+        code: 'unknown_service',
+        plan: plan.version,
+      });
+      return;
+    }
+    this.#options.budget.requested(service, arrivedMs);
+    const body = await this.#readBody(req, res, plan.limits.maxBodyBytes);
+    if (body === 'failed') return;
+    this.#begin({ req, res, fields, route, service, body, arrivedMs });
+  }
+
+  /** Offers room to those that wait. */
+  tick(): void {
+    if (this.#waitlist.size === 0) return;
+    this.#waitlist.offer((exchange) => {
+      if (!exchange.ended) this.#place(exchange);
+      return exchange.ended || !exchange.waiting;
+    });
+  }
+
+  async #readBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    maxBytes: number,
+  ): Promise<Buffer | undefined | 'failed'> {
+    const { headers } = req;
+    if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
+      return undefined;
+    }
+    if (Number(headers['content-length'] ?? 0) > maxBytes) {
+      this.#fail(res, notRun('too_large'));
+      return 'failed';
+    }
+    const { head, ended, failed } = await readHead(req, maxBytes);
+    if (failed) return 'failed';
+    if (ended) return head;
+    this.#fail(res, notRun('too_large'));
+    return 'failed';
+  }
+
+  #begin(
+    start: Pick<Exchange, 'req' | 'res' | 'fields' | 'route' | 'service' | 'body' | 'arrivedMs'>,
+  ): void {
+    const { route, fields, arrivedMs, res } = start;
+    const leftMs = Math.min(fields.leftMs ?? DEFAULT_LEFT_MS, route.timeoutMs);
+    const exchange: Exchange = {
+      ...start,
+      endsMs: arrivedMs + leftMs,
+      tried: new Set(),
+      open: new Set(),
+      tries: 0,
+      runs: 0,
+      waiting: false,
+      ended: false,
+      timer: undefined,
+    };
+    this.#inFlight += 1;
+    exchange.timer = setTimeout(() => this.#expire(exchange), exchange.endsMs - this.#now());
+    res.once('close', () => this.#gone(exchange));
+    this.#place(exchange);
+  }
+
+  #place(exchange: Exchange): void {
+    const { route, service, fields, arrivedMs, tried, runs } = exchange;
+    const nowMs = this.#now();
+    const outcome = this.#options.placer.place(
+      {
+        route,
+        service,
+        key: route.affinity ? fields.affinityKey : undefined,
+        waitedMs: nowMs - arrivedMs,
+        leftMs: exchange.endsMs - nowMs,
+        tried,
+        mayReuse: runs === 0 || route.idempotent,
+      },
+      nowMs,
+    );
+    if (outcome.type === 'place') this.#send(exchange, outcome.placement);
+    else this.#notPlaced(exchange, outcome);
+  }
+
+  #notPlaced(exchange: Exchange, outcome: Exclude<PlaceOutcome, { type: 'place' }>): void {
+    if (exchange.open.size > 0) return;
+    if (outcome.type === 'wait' && exchange.waiting) return;
+    if (outcome.type === 'wait' && this.#waitlist.size < MAX_WAITING) {
+      exchange.waiting = true;
+      this.#waitlist.add(exchange, exchange.route.priority);
+      return;
+    }
+    const code = { wait: 'queue_full', late: 'overloaded', noServer: 'no_server' } as const;
+    const failure = notRun(code[outcome.type]);
+    const waitMs = outcome.type === 'late' ? outcome.waitMs : 0;
+    this.#options.log('requestNotRun', {
+      request: exchange.fields.requestId,
+      code: failure.code,
+      waitMs: Math.round(waitMs),
+      expectedMs: outcome.type === 'late' ? Math.round(outcome.expectedMs) : undefined,
+      leftMs: Math.round(exchange.endsMs - this.#now()),
+      waiting: this.#waitlist.size,
+    });
+    this.#finish(exchange, exchange.runs > 0 ? asUnknown(failure) : failure, waitMs);
+  }
+
+  #send(exchange: Exchange, placement: Placement): void {
+    const { req, route, fields, body } = exchange;
+    const { dialect, placer, pool, clock } = this.#options;
+    const { record } = placement.server;
+    const { nowMs } = clock();
+    const attempt: Try = { placement, startedMs: nowMs, call: undefined, slow: undefined };
+    exchange.waiting = false;
+    exchange.tries += 1;
+    exchange.runs += 1;
+    exchange.tried.add(record.id);
+    exchange.open.add(attempt);
+    placer.load(record.id).sent();
+    const headers = { ...endToEnd(req.headers) };
+    delete headers['content-length'];
+    Object.assign(headers, dialect.serverHeaders(record.id, exchange.endsMs - nowMs));
+    this.#options.log('requestPlaced', {
+      request: fields.requestId,
+      key: fields.affinityKey,
+      server: record.id,
+      warm: placement.warm,
+      occupancy: Number(placer.load(record.id).occupancy(nowMs).toFixed(1)),
+      expectedMs: Math.round(placement.expectedMs),
+      tries: exchange.tries,
+      plan: this.#options.view.plan?.version,
+    });
+    attempt.call = pool.get(placement.server).send(
+      {
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        headers,
+        body: body !== undefined && body.length > 0 ? body : undefined,
+        mayReuse: route.idempotent,
+      },
+      (end) => this.#tryEnded(exchange, attempt, end),
+    );
+    if (route.idempotent) this.#watchSlow(exchange, attempt);
+  }
+
+  /** Tries idempotent work elsewhere as well when it takes much longer than expected. */
+  #watchSlow(exchange: Exchange, attempt: Try): void {
+    const { route } = exchange;
+    const slowMs = Math.max(
+      attempt.placement.expectedMs * SLOW_FACTOR,
+      route.objectiveMs * SLOW_OBJECTIVE,
+    );
+    attempt.slow = setTimeout(() => {
+      if (exchange.ended || !exchange.open.has(attempt)) return;
+      if (exchange.runs >= route.maxAttempts || exchange.open.size > 1) return;
+      this.#again(exchange, 'slow');
+    }, slowMs);
+  }
+
+  /** Repeats a request if the budget allows it. */
+  #again(exchange: Exchange, reason: string): boolean {
+    const { service, fields } = exchange;
+    const allowed = this.#options.budget.take(service, this.#options.entryVms(), this.#now());
+    this.#options.log('requestRepeated', {
+      request: fields.requestId,
+      reason,
+      allowed,
+      tries: exchange.tries,
+    });
+    if (allowed) this.#place(exchange);
+    return allowed;
+  }
+
+  #tryEnded(exchange: Exchange, attempt: Try, end: UpstreamEnd): void {
+    clearTimeout(attempt.slow);
+    exchange.open.delete(attempt);
+    const nowMs = this.#now();
+    const { record } = attempt.placement.server;
+    const result = this.#judge(exchange, end);
+    const load = this.#options.placer.load(record.id);
+    load.ended(endOf(result), nowMs);
+    if (end.type === 'answered') this.#learn(exchange, attempt, end.answer, result, nowMs);
+    if (end.type === 'unreachable') this.#options.pool.rest(record.id, end.reason);
+    if (result.type === 'unreachable' || result.type === 'rejected') exchange.runs -= 1;
+    if (!exchange.ended) this.#goOn(exchange, result, end);
+    this.tick();
+  }
+
+  #goOn(exchange: Exchange, result: AttemptEnd, end: UpstreamEnd): void {
+    const { route, open, runs, tries } = exchange;
+    const verdict = afterAttempt(result, {
+      idempotent: route.idempotent,
+      runs,
+      tries,
+      maxAttempts: route.maxAttempts,
+      othersOpen: open.size > 0,
+    });
+    switch (verdict.type) {
+      case 'deliver':
+        if (end.type === 'answered') this.#deliver(exchange, end.answer);
+        break;
+      case 'again':
+        if (!verdict.paid) this.#place(exchange);
+        else if (!this.#again(exchange, result.type)) this.#giveUp(exchange, result, end);
+        break;
+      case 'wait':
+        break;
+      case 'notRun':
+        this.#finish(exchange, notRun('overloaded'));
+        break;
+      case 'unknown':
+        this.#finish(exchange, unknown('connection_lost'));
+        break;
+      default:
+        verdict satisfies never;
+    }
+  }
+
+  /** Ends a request that would be repeated if the budget were not spent. */
+  #giveUp(exchange: Exchange, result: AttemptEnd, end: UpstreamEnd): void {
+    if (exchange.open.size > 0) return;
+    if (result.type === 'answered' && result.genuine && end.type === 'answered') {
+      this.#deliver(exchange, end.answer);
+    } else if (exchange.runs === 0) this.#finish(exchange, notRun('overloaded'));
+    else this.#finish(exchange, unknown('connection_lost'));
+  }
+
+  /** What an end means: an answer that is not the server's own to this request is none. */
+  #judge(exchange: Exchange, end: UpstreamEnd): AttemptEnd {
+    if (end.type !== 'answered') return { type: end.type };
+    const { status, headers } = end.answer;
+    const said = this.#options.dialect.readServer(status, headers);
+    if (said.notRun && status >= 400 && belongs(said, exchange.fields)) return { type: 'rejected' };
+    const genuine = said.signed && said.requestId === exchange.fields.requestId;
+    if (!genuine && (status < 400 || said.requestId !== undefined)) return { type: 'lost' };
+    return { type: 'answered', status, genuine };
+  }
+
+  #learn(
+    exchange: Exchange,
+    attempt: Try,
+    answer: UpstreamAnswer,
+    result: AttemptEnd,
+    nowMs: number,
+  ): void {
+    const { dialect, placer, view } = this.#options;
+    const { placement, startedMs } = attempt;
+    const { id } = placement.server.record;
+    const said = dialect.readServer(answer.status, answer.headers);
+    const load = placer.load(id);
+    if (said.load !== undefined) load.reported(said.load, nowMs);
+    if (said.otherServer) {
+      this.#options.log('serverMisdirected', { server: id });
+      view.removeServer(id, nowMs);
+      this.#options.pool.forget(id);
+      return;
+    }
+    if (result.type !== 'answered' || !result.genuine || answer.status >= 400) return;
+    const key = exchange.fields.affinityKey;
+    if (exchange.route.affinity && key !== undefined) {
+      placer.handled(id, exchange.route, key, nowMs);
+    }
+    placer.learn(exchange.route, placement, nowMs - startedMs, answer.body.length, nowMs);
+  }
+
+  #deliver(exchange: Exchange, answer: UpstreamAnswer): void {
+    const { res, req } = exchange;
+    if (!this.#close(exchange, answer.status, undefined)) return;
+    const headers = endToEnd(answer.headers);
+    delete headers['content-length'];
+    if (this.#options.stopping()) headers.connection = 'close';
+    const length =
+      req.method === 'HEAD' ? answer.headers['content-length'] : String(answer.body.length);
+    if (length !== undefined) headers['content-length'] = length;
+    res.writeHead(answer.status, headers);
+    res.end(answer.body);
+  }
+
+  #finish(exchange: Exchange, failure: Failure, waitMs = 0): void {
+    if (!this.#close(exchange, statusOf(failure), failure)) return;
+    this.#fail(exchange.res, failure, Math.max(RETRY_AFTER_MS, waitMs));
+  }
+
+  /** Gives a request its final state; false if it has one. */
+  #close(exchange: Exchange, status: number, failure: Failure | undefined): boolean {
+    if (exchange.ended) return false;
+    exchange.ended = true;
+    this.#inFlight -= 1;
+    clearTimeout(exchange.timer);
+    if (exchange.waiting) this.#waitlist.remove(exchange);
+    exchange.open.forEach((attempt) => this.#abandon(exchange, attempt));
+    const tookMs = this.#now() - exchange.arrivedMs;
+    const { service, route, fields } = exchange;
+    this.#options.metrics.ended(service, route.priority, failure?.code ?? 'answered', tookMs);
+    this.#options.log('requestEnded', {
+      request: fields.requestId,
+      service,
+      route: route.name,
+      status,
+      code: failure?.code,
+      servers: [...exchange.tried],
+      tries: exchange.tries,
+      mayHaveRun: exchange.runs > 0,
+      tookMs: Math.round(tookMs),
+      plan: this.#options.view.plan?.version,
+    });
+    return true;
+  }
+
+  #abandon(exchange: Exchange, attempt: Try): void {
+    clearTimeout(attempt.slow);
+    exchange.open.delete(attempt);
+    attempt.call?.cancel();
+    this.#options.placer.load(attempt.placement.server.record.id).ended('abandoned', this.#now());
+  }
+
+  /** The caller or the route gives up. */
+  #expire(exchange: Exchange): void {
+    this.#finish(exchange, exchange.runs > 0 ? unknown('deadline') : notRun('deadline'));
+  }
+
+  /** The caller has left. Work that must not be cut short runs on without it. */
+  #gone(exchange: Exchange): void {
+    if (exchange.ended) return;
+    const running = exchange.open.size > 0 && !exchange.route.idempotent;
+    this.#options.log('requestAbandoned', {
+      request: exchange.fields.requestId,
+      running,
+    });
+    if (!running) this.#close(exchange, 0, notRun('cancelled'));
+  }
+
+  #fail(res: ServerResponse, failure: Failure, waitMs = 0): void {
+    if (res.headersSent || res.destroyed) return;
+    const status = statusOf(failure);
+    const headers: Record<string, string> = {
+      [OUTCOME_HEADER]: outcomeText(failure),
+      [CODE_HEADER]: failure.code,
+      'content-length': '0',
+    };
+    if (status === SERVICE_UNAVAILABLE) {
+      const pauseMs = waitMs + Math.random() * RETRY_AFTER_JITTER_MS;
+      headers['retry-after'] = (pauseMs / 1000).toFixed(2);
+    }
+    if (this.#options.stopping()) headers.connection = 'close';
+    res.writeHead(status, headers);
+    res.end();
+  }
+
+  #now(): number {
+    return this.#options.clock().nowMs;
+  }
+}
+
+/** Whether a refusal is one of this request: refusals need not name it. */
+function belongs(said: ServerFields, fields: CallerFields): boolean {
+  return said.requestId === undefined || said.requestId === fields.requestId;
+}
+
+function endOf(result: AttemptEnd): 'served' | 'failed' | 'rejected' | 'unreachable' {
+  if (result.type === 'answered') {
+    return result.genuine && result.status < 500 ? 'served' : 'failed';
+  }
+  return result.type === 'lost' ? 'failed' : result.type;
+}
+
+function pathOf(url: string): string {
+  return url.split('?')[0] ?? url;
+}
--- /dev/null
+++ b/src/transport/factwatches.ts
@@ -0,0 +1,198 @@
+/** Keeps an entry VM's facts up to date with the platform's store. */
+import { FACT_KINDS } from '../coordination/index.js';
+import type { FactKind, FleetView } from '../coordination/index.js';
+import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
+import type { BackendServerId } from '../state/index.js';
+import type { Clock } from './clocks.js';
+import { pause } from './clocks.js';
+import type { Logger } from './logs.js';
+import type { NodeMetrics } from './nodemetrics.js';
+
+/** Shortest and longest time for which a watch waits, in milliseconds. Each call is priced. */
+const MIN_HOLD_MS = 13_000;
+const MAX_HOLD_MS = 19_000;
+
+/** Time after a change in which more are expected; one call then brings them all, in milliseconds. */
+const GATHER_MS = 250;
+
+/** First and longest pause after a failure, in milliseconds. */
+const FIRST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 1_500;
+
+/**
+ * Time after the store's return in which entries that lapsed meanwhile may come back, in
+ * milliseconds: servers renew theirs within about two seconds.
+ */
+const LAPSE_GRACE_MS = 2_000;
+
+export interface FactWatchOptions {
+  readonly store: FactStore;
+  readonly view: FleetView;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: NodeMetrics;
+  /** Told of backend servers that are gone. */
+  readonly onGone: (server: BackendServerId) => void;
+  /** Told when facts have changed. */
+  readonly onChange: () => void;
+}
+
+export class FactWatch {
+  readonly #options: FactWatchOptions;
+
+  readonly #ended = new AbortController();
+
+  readonly #waiting = new Map<FactKind, AbortController>();
+
+  /** Kinds whose last call failed. */
+  readonly #lost = new Set<FactKind>();
+
+  #returnedMs = -Infinity;
+
+  constructor(options: FactWatchOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    FACT_KINDS.forEach((kind) => this.#follow(kind));
+  }
+
+  stop(): void {
+    this.#ended.abort();
+    this.#waiting.forEach((waiting) => waiting.abort());
+  }
+
+  /** Ends the waiting of a watch that misses what others have learnt; it asks anew. */
+  renew(kind: FactKind): void {
+    this.#waiting.get(kind)?.abort();
+  }
+
+  async #follow(kind: FactKind): Promise<void> {
+    let known: number | undefined;
+    let pauseMs = FIRST_PAUSE_MS;
+    while (!this.#ended.signal.aborted) {
+      const batch: Awaited<ReturnType<FactStore['list']>> =
+        known === undefined ? await this.#list(kind) : await this.#watch(kind, known);
+      if (batch.isOk()) {
+        known = batch.value.revision;
+        pauseMs = FIRST_PAUSE_MS;
+        if (batch.value.facts.length > 0) await pause(GATHER_MS, this.#ended.signal);
+      } else if (batch.error === 'history_gone') {
+        this.#options.log('historyGone', { kind, since: known });
+        known = undefined;
+      } else if (!this.#ended.signal.aborted) {
+        await pause(pauseMs * (0.5 + Math.random()), this.#ended.signal);
+        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+      }
+    }
+  }
+
+  async #list(kind: FactKind): ReturnType<FactStore['list']> {
+    const batch = await this.#options.store.list(kind);
+    this.#note(kind, batch.isErr() ? batch.error : undefined);
+    if (batch.isOk()) this.#takeList(kind, batch.value);
+    return batch;
+  }
+
+  async #watch(kind: FactKind, since: number): ReturnType<FactStore['list']> {
+    const waiting = new AbortController();
+    this.#waiting.set(kind, waiting);
+    const holdMs = Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
+    const batch = await this.#options.store.watch(kind, since, holdMs, waiting.signal);
+    if (waiting.signal.aborted && batch.isErr()) return batch;
+    this.#note(kind, batch.isErr() ? batch.error : undefined);
+    if (batch.isOk()) this.#takeChanges(kind, batch.value);
+    return batch;
+  }
+
+  #takeList(kind: FactKind, batch: FactBatch): void {
+    const { view, log } = this.#options;
+    // Another entry VM has told newer facts meanwhile: the list would undo them.
+    if (batch.revision < view.revisions[kind]) return;
+    const nowMs = this.#now();
+    const records = batch.facts.flatMap((fact) => (fact.type === 'server' ? [fact.record] : []));
+    const domains = batch.facts.flatMap((fact) =>
+      fact.type === 'evacuation' && fact.active ? [fact.domain] : [],
+    );
+    if (kind === 'servers') {
+      const before = view.servers.map((server) => server.record.id);
+      view.replaceServers(records, nowMs, this.#goneAtMs(nowMs));
+      before.filter((id) => view.server(id) === undefined).forEach((id) => this.#gone(id, batch));
+    }
+    if (kind === 'evacuations') view.replaceEvacuations(domains, nowMs);
+    batch.facts.forEach((fact) => {
+      if (fact.type === 'plan' || fact.type === 'unreadable') this.#take(fact, batch);
+    });
+    view.advance(kind, Math.max(1, batch.changedAt));
+    log('factsListed', { kind, revision: batch.revision, count: batch.facts.length });
+    this.#options.onChange();
+  }
+
+  #takeChanges(kind: FactKind, batch: FactBatch): void {
+    const { view } = this.#options;
+    if (batch.facts.length === 0) return;
+    batch.facts.forEach((fact) => this.#take(fact, batch));
+    view.advance(kind, batch.changedAt);
+    this.#options.onChange();
+  }
+
+  #take(fact: Fact, { revision }: FactBatch): void {
+    const { view, log } = this.#options;
+    const nowMs = this.#now();
+    switch (fact.type) {
+      case 'plan':
+        if (view.setPlan(fact.plan)) log('planInForce', { plan: fact.plan.version, revision });
+        break;
+      case 'server':
+        if (view.putServer(fact.record, nowMs)) {
+          const { id, service, draining, coldMs, bornMs } = fact.record;
+          log('serverChanged', { server: id, service, draining, coldMs, bornMs, revision });
+        }
+        break;
+      case 'serverGone':
+        if (view.removeServer(fact.id, nowMs, this.#goneAtMs(nowMs))) {
+          this.#gone(fact.id, { revision });
+        }
+        break;
+      case 'evacuation':
+        if (view.setEvacuated(fact.domain, fact.active, nowMs)) {
+          log('evacuationChanged', { domain: fact.domain, active: fact.active, revision });
+        }
+        break;
+      case 'unreadable':
+        log('factUnreadable', { name: fact.name, issue: fact.issue, revision });
+        break;
+      default:
+        fact satisfies never;
+    }
+  }
+
+  #gone(id: BackendServerId, { revision }: Pick<FactBatch, 'revision'>): void {
+    this.#options.log('serverGone', { server: id, revision });
+    this.#options.onGone(id);
+  }
+
+  /** When an entry that is missing now counts as gone. */
+  #goneAtMs(nowMs: number): number {
+    return Math.max(nowMs, this.#returnedMs + LAPSE_GRACE_MS);
+  }
+
+  #note(kind: FactKind, failure: StoreFailure | undefined): void {
+    const { log, metrics } = this.#options;
+    metrics.storeCall(failure ?? 'done');
+    const down = failure === 'unreachable' || failure === 'refused' || failure === 'unreadable';
+    if (down === this.#lost.has(kind)) return;
+    if (down) {
+      this.#lost.add(kind);
+      log('storeLost', { kind, failure });
+      return;
+    }
+    this.#lost.delete(kind);
+    this.#returnedMs = this.#now();
+    log('storeRegained', { kind });
+  }
+
+  #now(): number {
+    return this.#options.clock().nowMs;
+  }
+}
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -5,5 +5,6 @@
 export * from './entries.js';
 export * from './logs.js';
 export * from './metrics.js';
+export * from './nodes.js';
 export * from './peers.js';
 export * from './platforms.js';
