Pass an answer without a length on without one

A server that breaks off ends an answer without a length by closing, and the carrier gave it a length.

Change: such an answer ends with its connection towards the caller as well.

--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -387,7 +387,11 @@
     if (this.#options.stopping()) headers.connection = 'close';
     const length =
       req.method === 'HEAD' ? answer.headers['content-length'] : String(answer.body.length);
-    if (length !== undefined) headers['content-length'] = length;
+    if (!answer.framed) {
+      // Ends with its connection here as well: nobody can tell whether it is whole.
+      headers.connection = 'close';
+      res.useChunkedEncodingByDefault = false;
+    } else if (length !== undefined) headers['content-length'] = length;
     res.writeHead(answer.status, headers);
     res.end(answer.body);
   }
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -20,6 +20,8 @@
   readonly status: number;
   readonly headers: HeaderFields;
   readonly body: Buffer;
+  /** Whether its length was stated; without, it ends with its connection and may be cut short. */
+  readonly framed: boolean;
 }
 
 export type UpstreamEnd =
@@ -252,6 +254,9 @@
       status: this.#status,
       headers: this.#headers,
       body: Buffer.concat(this.#chunks, this.#bytes),
+      framed:
+        this.#headers['content-length'] !== undefined ||
+        this.#headers['transfer-encoding'] !== undefined,
     };
     this.#end({ type: 'answered', answer }, this.#options.isClean(answer));
   }
