--- a/src/coordination/fleetviews.ts
+++ b/src/coordination/fleetviews.ts
@@ -85,6 +85,9 @@
 
   readonly #revisions: Record<FactKind, number> = { plan: 0, servers: 0, evacuations: 0 };
 
+  /** The servers' revision once no removal is pending. */
+  #heldRevision = 0;
+
   get plan(): SteeringPlan | undefined {
     return this.#plan;
   }
@@ -114,8 +117,15 @@
     return this.#evacuated.has(domain);
   }
 
-  /** Records how far the facts of a kind are known. */
+  /**
+   * Records how far the facts of a kind are known. While removals are pending, the servers' revision
+   * stays behind: what others took from here would keep those servers for good.
+   */
   advance(kind: FactKind, revision: number): void {
+    if (kind === 'servers' && this.#goneAtMs.size > 0) {
+      this.#heldRevision = Math.max(this.#heldRevision, revision);
+      if (this.#revisions.servers > 0) return;
+    }
     this.#revisions[kind] = Math.max(this.#revisions[kind], revision);
   }
 
@@ -247,6 +257,7 @@
   tick(nowMs: number): readonly BackendServerId[] {
     const due = [...this.#goneAtMs].filter(([, atMs]) => atMs <= nowMs).map(([id]) => id);
     due.forEach((id) => this.removeServer(id, nowMs));
+    if (this.#goneAtMs.size === 0) this.advance('servers', this.#heldRevision);
     this.#tombstones.forEach(({ atMs }, id) => {
       if (nowMs - atMs > TOMBSTONE_MS) this.#tombstones.delete(id);
     });
--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -48,6 +48,8 @@
   readonly warm: boolean;
   /** Time until the answer, in milliseconds. */
   readonly expectedMs: number;
+  /** Time after which the answer is overdue even from a server that does not know the object. */
+  readonly slowMs: number;
   /** Work at the server beyond its slots makes the time unfit for learning. */
   readonly queued: boolean;
 }
@@ -75,6 +77,9 @@
 /** Cost of a server whose recent runs all failed, in milliseconds. */
 const FAILURE_COST_MS = 3_000;
 
+/** Time of a run over its usual time at which it is overdue. */
+const SLOW_FACTOR = 1.7;
+
 /** Advantage of the server that a key belongs to, in milliseconds. */
 const STAY_MS = 30;
 
@@ -304,10 +309,12 @@
     const waitMs = (ahead / record.slots) * this.#meanMs(record.service) * speed;
     const runMs = (warm ? times.warmMs : times.coldMs) * speed;
     const expectedMs = this.#trip(record.failureDomain) + waitMs + runMs;
+    const slowMs =
+      this.#trip(record.failureDomain) + waitMs + Math.max(runMs, times.coldMs) * SLOW_FACTOR;
     const bytesMs = this.#byteMs(record.failureDomain) * times.bytes;
     const cost =
       expectedMs + bytesMs + load.failureRate(nowMs) * FAILURE_COST_MS - (first ? STAY_MS : 0);
-    return { server, warm, expectedMs, queued: ahead > 0, cost, waitMs, occupancy };
+    return { server, warm, expectedMs, slowMs, queued: ahead > 0, cost, waitMs, occupancy };
   }
 
   #sharesOf(service: ServiceName, nowMs: number): RegionShares {
--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -27,8 +27,10 @@
 
 /** Why a call to the store brought nothing. */
 export type StoreFailure =
-  /** No answer, or a connection that broke. A write may have taken effect. */
+  /** No connection, or one that broke. A write may have taken effect. */
   | 'unreachable'
+  /** No answer in time. */
+  | 'silent'
   /** The store turned the call away; nothing was done. */
   | 'refused'
   /** The history since that revision is no longer kept. */
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -20,6 +20,9 @@
 import type { UpstreamPool } from './pools.js';
 import type { UpstreamAnswer, UpstreamCall, UpstreamEnd } from './upstreams.js';
 
+/** Time between two offers to waiting requests, in milliseconds. */
+const TICK_MS = 25;
+
 /** Requests that may wait for room in this entry VM. */
 const MAX_WAITING = 200;
 
@@ -30,12 +33,6 @@
 const RETRY_AFTER_MS = 200;
 const RETRY_AFTER_JITTER_MS = 400;
 
-/** Age of a try, over its expected time, at which idempotent work is tried elsewhere as well. */
-const SLOW_FACTOR = 2;
-
-/** Part of the latency objective below which no try counts as slow. */
-const SLOW_OBJECTIVE = 0.8;
-
 const SERVICE_UNAVAILABLE = 503;
 
 export interface CarrierOptions {
@@ -89,6 +86,8 @@
 
   #inFlight = 0;
 
+  #timer: NodeJS.Timeout | undefined;
+
   constructor(options: CarrierOptions) {
     this.#options = options;
   }
@@ -129,13 +128,20 @@
     this.#begin({ req, res, fields, route, service, body, arrivedMs });
   }
 
-  /** Offers room to those that wait. */
+  /** Offers room to those that wait; again after a while as long as there are any. */
   tick(): void {
-    if (this.#waitlist.size === 0) return;
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
     this.#waitlist.offer((exchange) => {
       if (!exchange.ended) this.#place(exchange);
       return exchange.ended || !exchange.waiting;
     });
+    this.#tickLater();
+  }
+
+  #tickLater(): void {
+    if (this.#waitlist.size === 0 || this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => this.tick(), TICK_MS);
   }
 
   async #readBody(
@@ -205,6 +211,7 @@
     if (outcome.type === 'wait' && this.#waitlist.size < MAX_WAITING) {
       exchange.waiting = true;
       this.#waitlist.add(exchange, exchange.route.priority);
+      this.#tickLater();
       return;
     }
     const code = { wait: 'queue_full', late: 'overloaded', noServer: 'no_server' } as const;
@@ -262,15 +269,11 @@
   /** Tries idempotent work elsewhere as well when it takes much longer than expected. */
   #watchSlow(exchange: Exchange, attempt: Try): void {
     const { route } = exchange;
-    const slowMs = Math.max(
-      attempt.placement.expectedMs * SLOW_FACTOR,
-      route.objectiveMs * SLOW_OBJECTIVE,
-    );
     attempt.slow = setTimeout(() => {
       if (exchange.ended || !exchange.open.has(attempt)) return;
       if (exchange.runs >= route.maxAttempts || exchange.open.size > 1) return;
       this.#again(exchange, 'slow');
-    }, slowMs);
+    }, attempt.placement.slowMs);
   }
 
   /** Repeats a request if the budget allows it. */
@@ -299,7 +302,7 @@
     if (end.type === 'unreachable') this.#options.pool.rest(record.id, end.reason);
     if (result.type === 'unreachable' || result.type === 'rejected') exchange.runs -= 1;
     if (!exchange.ended) this.#goOn(exchange, result, end);
-    this.tick();
+    if (this.#waitlist.size > 0) this.tick();
   }
 
   #goOn(exchange: Exchange, result: AttemptEnd, end: UpstreamEnd): void {
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -1,4 +1,5 @@
 /** Keeps an entry VM's facts up to date with the platform's store. */
+import { Ok } from 'ts-results-es';
 import { FACT_KINDS } from '../coordination/index.js';
 import type { FactKind, FleetView } from '../coordination/index.js';
 import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
@@ -19,12 +20,18 @@
 const FIRST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 1_500;
 
+/** Outage after which entries may have lapsed, in milliseconds: less than any lease. */
+const LAPSING_OUTAGE_MS = 2_000;
+
 /**
  * Time after the store's return in which entries that lapsed meanwhile may come back, in
  * milliseconds: servers renew theirs within about two seconds.
  */
 const LAPSE_GRACE_MS = 2_000;
 
+/** What a watch brings that was ended early. */
+const NOTHING: FactBatch = { facts: [], revision: 0, changedAt: 0 };
+
 export interface FactWatchOptions {
   readonly store: FactStore;
   readonly view: FleetView;
@@ -44,8 +51,8 @@
 
   readonly #waiting = new Map<FactKind, AbortController>();
 
-  /** Kinds whose last call failed. */
-  readonly #lost = new Set<FactKind>();
+  /** Kinds whose last call failed, and when the store was last known not to answer it. */
+  readonly #lost = new Map<FactKind, number>();
 
   #returnedMs = -Infinity;
 
@@ -88,8 +95,9 @@
   }
 
   async #list(kind: FactKind): ReturnType<FactStore['list']> {
+    const calledMs = this.#now();
     const batch = await this.#options.store.list(kind);
-    this.#note(kind, batch.isErr() ? batch.error : undefined);
+    this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) this.#takeList(kind, batch.value);
     return batch;
   }
@@ -98,9 +106,11 @@
     const waiting = new AbortController();
     this.#waiting.set(kind, waiting);
     const holdMs = Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
+    const calledMs = this.#now();
     const batch = await this.#options.store.watch(kind, since, holdMs, waiting.signal);
-    if (waiting.signal.aborted && batch.isErr()) return batch;
-    this.#note(kind, batch.isErr() ? batch.error : undefined);
+    this.#waiting.delete(kind);
+    if (waiting.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
+    this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) this.#takeChanges(kind, batch.value);
     return batch;
   }
@@ -177,19 +187,24 @@
     return Math.max(nowMs, this.#returnedMs + LAPSE_GRACE_MS);
   }
 
-  #note(kind: FactKind, failure: StoreFailure | undefined): void {
+  #note(kind: FactKind, failure: StoreFailure | undefined, calledMs: number): void {
     const { log, metrics } = this.#options;
     metrics.storeCall(failure ?? 'done');
-    const down = failure === 'unreachable' || failure === 'refused' || failure === 'unreadable';
-    if (down === this.#lost.has(kind)) return;
-    if (down) {
-      this.#lost.add(kind);
+    const down = failure !== undefined && failure !== 'history_gone';
+    const lostMs = this.#lost.get(kind);
+    if (down === (lostMs !== undefined)) return;
+    const nowMs = this.#now();
+    if (lostMs === undefined) {
+      this.#lost.set(kind, failure === 'silent' ? calledMs : nowMs);
       log('storeLost', { kind, failure });
-      return;
+    } else {
+      this.#lost.delete(kind);
+      const outageMs = nowMs - lostMs;
+      if (outageMs >= LAPSING_OUTAGE_MS) this.#returnedMs = nowMs;
+      log('storeRegained', { kind, outageMs: Math.round(outageMs) });
     }
-    this.#lost.delete(kind);
-    this.#returnedMs = this.#now();
-    log('storeRegained', { kind });
+    // What one call has met, the others' connections may have met without noticing.
+    FACT_KINDS.filter((other) => other !== kind).forEach((other) => this.renew(other));
   }
 
   #now(): number {
--- a/src/transport/nodes.ts
+++ b/src/transport/nodes.ts
@@ -17,8 +17,8 @@
 import { NodeMetrics } from './nodemetrics.js';
 import { UpstreamPool } from './pools.js';
 
-/** Time between two offers to waiting requests, and between two looks at shares, in milliseconds. */
-const TICK_MS = 25;
+/** Time between two looks at the end of a stopping process, and at shares, in milliseconds. */
+const TICK_MS = 50;
 const STEER_MS = 500;
 
 /** Time for which callers may keep a look-up, in milliseconds. */
@@ -161,10 +161,7 @@
       await openReadiness(dialect, () => this.ready, cfg.readyAddress),
       await openMetrics(this.#metrics, cfg.metricsAddress),
     ];
-    this.#timers = [
-      setInterval(() => this.#carrier.tick(), TICK_MS),
-      setInterval(() => this.#steer(), STEER_MS),
-    ];
+    this.#timers = [setInterval(() => this.#steer(), STEER_MS)];
     this.#changed();
     log('processStarted', { address: cfg.callerAddress });
   }
@@ -221,7 +218,10 @@
 
   #steer(): void {
     const { nowMs } = this.#options.clock();
-    this.#view.tick(nowMs).forEach((id) => this.#gone(id));
+    this.#view.tick(nowMs).forEach((id) => {
+      this.#options.log('serverGone', { server: id, revisions: this.#view.revisions });
+      this.#gone(id);
+    });
     this.#placer.tick(nowMs);
   }
 
