Give objects with large answers a home in each failure domain when they come again often

Change: when passing the answer costs more than first runs would, weighed by the share of requests on objects that had not come before, the home is chosen within the failure domain.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -10,6 +10,7 @@
 export * from './fleetviews.js';
 export * from './grants.js';
 export * from './items.js';
+export * from './keycounts.js';
 export * from './lookups.js';
 export * from './members.js';
 export * from './owners.js';
--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -9,6 +9,7 @@
   ServiceName,
 } from '../state/index.js';
 import type { FleetView, KnownServer } from './fleetviews.js';
+import { KeyCount } from './keycounts.js';
 import { RegionShares } from './regionshares.js';
 import type { RegionRoom } from './regionshares.js';
 import { rendezvousTop } from './rendezvous.js';
@@ -103,6 +104,7 @@
   warmMs: number;
   coldMs: number;
   bytes: number;
+  readonly keys: KeyCount;
 }
 
 interface Candidate extends Placement {
@@ -164,6 +166,11 @@
     this.#tripMs.set(domain, before === undefined ? tookMs : Math.min(before * 1.1, tookMs));
   }
 
+  /** Counts a caller's request on an object. */
+  arrived(route: RoutePlan, key: string, nowMs: number): void {
+    this.#time(route).keys.add(key, nowMs);
+  }
+
   /** Learns from a whole answer. */
   learn(
     route: RoutePlan,
@@ -292,9 +299,20 @@
   /** The server that an object belongs to, among those of its region. */
   #homeOf({ route, key }: PlaceRequest, servers: readonly KnownServer[]): KnownServer | undefined {
     if (key === undefined) return undefined;
-    const ids = servers.map((server) => server.record.id);
+    const own = servers.filter((server) => server.record.failureDomain === this.#options.home);
+    const homes = own.length > 0 && this.#staysInDomain(route) ? own : servers;
+    const ids = homes.map((server) => server.record.id);
     const [first] = rendezvousTop(warmKey(route, key), ids, 1);
-    return servers.find((server) => server.record.id === first);
+    return homes.find((server) => server.record.id === first);
+  }
+
+  /**
+   * Whether a route's objects have a home in each failure domain rather than in the region: when
+   * passing answers between the domains costs more than the objects' first runs in each.
+   */
+  #staysInDomain(route: RoutePlan): boolean {
+    const { bytes, warmMs, coldMs, keys } = this.#time(route);
+    return bytes * DOMAIN_MS_PER_BYTE > (coldMs - warmMs) * keys.newShare;
   }
 
   #regionOf(domain: FailureDomainId): RegionId | undefined {
@@ -344,8 +362,7 @@
       const region = this.#regionOf(record.failureDomain);
       if (region === undefined || load.resting(nowMs)) return;
       const distanceMs =
-        this.#trip(record.failureDomain) * TRIP_WEIGHT +
-        this.#byteMs(record.failureDomain) * bytes;
+        this.#trip(record.failureDomain) * TRIP_WEIGHT + this.#byteMs(record.failureDomain) * bytes;
       const room = rooms.get(region) ?? { slots: 0, work: 0, distanceMs };
       room.slots += record.slots;
       room.work += load.occupancy(nowMs);
@@ -391,7 +408,12 @@
     const known = this.#times.get(route.name);
     if (known !== undefined) return known;
     const usualMs = Math.min(route.objectiveMs, route.timeoutMs / 2);
-    const time = { warmMs: usualMs * FIRST_WARM, coldMs: usualMs * FIRST_COLD, bytes: 0 };
+    const time = {
+      warmMs: usualMs * FIRST_WARM,
+      coldMs: usualMs * FIRST_COLD,
+      bytes: 0,
+      keys: new KeyCount(),
+    };
     this.#times.set(route.name, time);
     return time;
   }
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -181,6 +181,9 @@
       timer: undefined,
     };
     this.#inFlight += 1;
+    const { placer } = this.#options;
+    const key = route.affinity ? fields.affinityKey : undefined;
+    if (key !== undefined) placer.arrived(route, key, arrivedMs);
     exchange.timer = setTimeout(() => this.#expire(exchange), exchange.endsMs - this.#now());
     res.once('close', () => this.#gone(exchange));
     this.#place(exchange);
