--- a/src/bin/agent.ts
+++ b/src/bin/agent.ts
@@ -4,7 +4,10 @@
 import { AgentTask } from '../transport/index.js';
 import { onStop, startDaemon } from './programs.js';
 
-const { cfg, log } = startDaemon('agent', AgentConfig, import.meta);
+const { cfg, log, flush } = startDaemon('agent', AgentConfig, import.meta);
 const task = new AgentTask(cfg, log);
 await task.start();
-onStop(() => task.stop());
+onStop(async () => {
+  await task.stop();
+  await flush();
+});
--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -11,7 +11,7 @@
 } from '../transport/index.js';
 import { onStop, startDaemon } from './programs.js';
 
-const { cfg, log } = startDaemon('entry', EntryConfig, import.meta);
+const { cfg, log, flush } = startDaemon('entry', EntryConfig, import.meta);
 const task = new EntryTask(cfg, log);
 const metrics = new EntryMetrics(() => task.machine.load);
 const peers = await listen(peerApp(task, metrics), cfg.peerAddress);
@@ -26,4 +26,5 @@
   await task.stop();
   callers.close();
   peers.close();
+  await flush();
 });
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -6,13 +6,16 @@
 import { EntryNode } from '../transport/index.js';
 import { onReload, onStop, readConfig, startDaemon } from './programs.js';
 
-const { cfg, log, file } = startDaemon('node', NodeConfig, import.meta);
+const { cfg, log, file, flush } = startDaemon('node', NodeConfig, import.meta);
 const node = new EntryNode(cfg, {
   store: new PlatformFacts(cfg.platform.address),
   dialect: platformDialect,
   log,
 });
-onStop(() => node.stop());
+onStop(async () => {
+  await node.stop();
+  await flush();
+});
 onReload(() => {
   const again = readConfig(NodeConfig, file);
   if (again.isOk()) node.reload(again.value);
--- a/src/bin/programs.ts
+++ b/src/bin/programs.ts
@@ -6,7 +6,7 @@
 import type { z } from 'zod';
 import { formatIssue, issuesOfParse, settingsIssue } from '../state/index.js';
 import type { SettingsIssue } from '../state/index.js';
-import { createLogger } from '../transport/index.js';
+import { LOG_EVENTS, LineWriter, createLogger, writeStandardOutput } from '../transport/index.js';
 import type { LogLevel, Logger } from '../transport/index.js';
 
 /** What the settings of every long-running program hold. */
@@ -19,6 +19,14 @@
 export const EXIT_FAILED = 1;
 export const EXIT_WRONG_USE = 2;
 
+/** Log lines a second, at once after a quiet time, and bytes that wait to be written. */
+const LINES_PER_S = 400;
+const LINES_BURST = 1_000;
+const MAX_LINE_BYTES = 262_144;
+
+/** Time that an ending process waits for the reader of its log, in milliseconds. */
+const LAST_LINES_MS = 200;
+
 /** Reads a JSON file. */
 export function readJson(file: string): Result<unknown, SettingsIssue> {
   try {
@@ -58,6 +66,8 @@
   readonly log: Logger;
   /** The settings file. */
   readonly file: string;
+  /** Resolves once what was logged is written. */
+  readonly flush: () => Promise<void>;
 }
 
 /**
@@ -85,12 +95,25 @@
   const cli = meow(help, { importMeta: meta, flags: { config: { type: 'string' } } });
   const file = cli.flags.config ?? failUse('--config FILE is missing');
   const cfg = loadConfig(schema, file);
-  const log = createLogger({ program, entryVm: cfg.id }, { level: cfg.logLevel });
-  process.on('uncaughtException', (err) => {
+  const lines = new LineWriter({
+    perS: LINES_PER_S,
+    burst: LINES_BURST,
+    maxBytes: MAX_LINE_BYTES,
+    nowMs: () => performance.now(),
+    noteDropped: (count) => {
+      const { id, ...event } = LOG_EVENTS.linesDropped;
+      return JSON.stringify({ at: new Date().toISOString(), event: id, ...event, count });
+    },
+    write: writeStandardOutput,
+  });
+  const write = (line: string, level: LogLevel): void => lines.line(line, level !== 'info');
+  const log = createLogger({ program, entryVm: cfg.id }, { level: cfg.logLevel, write });
+  process.on('uncaughtException', async (err) => {
     log('invariantBroken', { reason: err.stack });
+    await lines.drained(LAST_LINES_MS);
     process.exit(EXIT_FAILED);
   });
-  return { cfg, log, file };
+  return { cfg, log, file, flush: () => lines.drained(LAST_LINES_MS) };
 }
 
 /** Time between two looks at the settings file, in milliseconds. */
--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -204,18 +204,18 @@
   place(request: PlaceRequest, nowMs: number): PlaceOutcome {
     const candidates = this.#candidates(request, nowMs);
     if (candidates.length === 0) return { type: 'noServer' };
-    const ranked = [...candidates].sort((a, b) => a.cost - b.cost);
+    const ranked = [...candidates].sort((x, y) => x.cost - y.cost);
+    const timely = ranked.filter((each) => !this.#isLate(request, each));
+    const [best] = ranked;
+    if (best === undefined) return { type: 'noServer' };
+    if (timely.length === 0) {
+      return { type: 'late', waitMs: best.waitMs, expectedMs: best.expectedMs };
+    }
     const room = this.#room(request);
-    const fit = ranked.find(
+    const fit = timely.find(
       (each) =>
         each.occupancy < each.server.record.slots * (1 + room) && this.#mayWarmUp(each, nowMs),
     );
-    const best = ranked[0];
-    if (best === undefined) return { type: 'noServer' };
-    const chosen = fit ?? best;
-    if (this.#isLate(request, chosen)) {
-      return { type: 'late', waitMs: chosen.waitMs, expectedMs: chosen.expectedMs };
-    }
     return fit === undefined ? { type: 'wait' } : { type: 'place', placement: fit };
   }
 
@@ -231,12 +231,12 @@
   }
 
   /** Refuses what must wait so long that others would miss their objective as well. */
-  #isLate({ route, waitedMs, leftMs }: PlaceRequest, best: Candidate): boolean {
-    if (best.waitMs <= 0 && waitedMs <= 0) return false;
-    if (best.expectedMs > leftMs) return true;
+  #isLate({ route, waitedMs, leftMs }: PlaceRequest, candidate: Candidate): boolean {
+    if (candidate.waitMs <= 0 && waitedMs <= 0) return false;
+    if (candidate.expectedMs > leftMs) return true;
     const { warmMs } = this.#time(route);
     const patience = Math.max(route.objectiveMs * MIN_WAIT, route.objectiveMs - warmMs);
-    return waitedMs + best.waitMs > patience;
+    return waitedMs + candidate.waitMs > patience;
   }
 
   #mayWarmUp(candidate: Candidate, nowMs: number): boolean {
--- /dev/null
+++ b/src/coordination/tests/fleetviews.test.ts
@@ -0,0 +1,116 @@
+/** Facts: versions, incarnations, removals, evacuations. */
+import { expect } from 'chai';
+import type { BackendServerId, FailureDomainId } from '../../state/index.js';
+import { FleetView } from '../fleetviews.js';
+import { SERVICE, planOf, routeOf, serverOf, viewOf } from './plans.js';
+
+const S1 = 's1' as BackendServerId;
+const A1 = 'a1' as FailureDomainId;
+
+it('a plan never goes back to an older version', () => {
+  const view = viewOf([]);
+  expect(view.setPlan(planOf(3))).to.equal(true);
+  expect(view.setPlan(planOf(2))).to.equal(false);
+  expect(view.plan?.version).to.equal(3);
+});
+
+it('the longest prefix of the host wins', () => {
+  const long = routeOf({ name: 'bulk', pathPrefix: '/prices/bulk/' });
+  const view = viewOf([], planOf(1, [routeOf(), long, routeOf({ host: 'other.example' })]));
+  expect(view.route('shop.example', '/prices/bulk/7')?.name).to.equal('bulk');
+  expect(view.route('shop.example', '/prices/7')?.name).to.equal('prices');
+  expect(view.route('shop.example', '/stock/7')).to.equal(undefined);
+  expect(view.route('none.example', '/prices/7')).to.equal(undefined);
+});
+
+it('a split follows its weights', () => {
+  const targets = [
+    { service: SERVICE, weight: 9 },
+    { service: 'docs' as typeof SERVICE, weight: 1 },
+  ];
+  const route = routeOf({ targets });
+  const view = viewOf([], planOf(1, [route]));
+  const chosen = Array.from({ length: 100 }, () => view.nextService(route));
+  expect(chosen.filter((service) => service === SERVICE)).to.have.length(90);
+});
+
+it('a part of weight 0 gets nothing', () => {
+  const targets = [
+    { service: SERVICE, weight: 1 },
+    { service: 'docs' as typeof SERVICE, weight: 0 },
+  ];
+  const route = routeOf({ targets });
+  const view = viewOf([], planOf(1, [route]));
+  const chosen = Array.from({ length: 20 }, () => view.nextService(route));
+  expect(new Set(chosen)).to.deep.equal(new Set([SERVICE]));
+});
+
+it('records of a replaced incarnation and older ones change nothing', () => {
+  const view = viewOf([serverOf('s1', 'a1', { bornMs: 2_000, sequence: 5 })]);
+  const older = serverOf('s1', 'a1', { bornMs: 2_000, sequence: 4, draining: true });
+  const replaced = serverOf('s1', 'a1', { bornMs: 1_000, sequence: 9, draining: true });
+  expect(view.putServer(older, 10)).to.equal(false);
+  expect(view.putServer(replaced, 10)).to.equal(false);
+  expect(view.mayUse(S1)).to.equal(true);
+});
+
+it('an incarnation that was removed does not return by a late record of an earlier one', () => {
+  const view = viewOf([serverOf('s1', 'a1', { bornMs: 2_000 })]);
+  view.removeServer(S1, 10);
+  expect(view.putServer(serverOf('s1', 'a1', { bornMs: 1_000 }), 20)).to.equal(false);
+  expect(view.putServer(serverOf('s1', 'a1', { bornMs: 3_000 }), 30)).to.equal(true);
+});
+
+it('a new incarnation under an old id is cold for its start time', () => {
+  const view = viewOf([serverOf('s1', 'a1', { bornMs: 1_000 })]);
+  view.putServer(serverOf('s1', 'a1', { bornMs: 2_000 }), 100);
+  const server = view.server(S1);
+  expect(server !== undefined && view.isCold(server, 3_000)).to.equal(true);
+  expect(server !== undefined && view.isCold(server, 3_101)).to.equal(false);
+});
+
+it('draining, removed and evacuated servers get no new work', () => {
+  const view = viewOf([serverOf('s1', 'a1'), serverOf('s2', 'a2'), serverOf('s3', 'b1')]);
+  view.putServer(serverOf('s2', 'a2', { draining: true, sequence: 2 }), 10);
+  view.removeServer('s3' as BackendServerId, 10);
+  view.setEvacuated(A1, true, 10);
+  expect(view.usable(SERVICE)).to.deep.equal([]);
+});
+
+it('the servers of a refilled failure domain count as cold', () => {
+  const view = viewOf([serverOf('s1', 'a1')]);
+  view.setEvacuated(A1, true, 0);
+  view.setEvacuated(A1, false, 1_000);
+  const server = view.server(S1);
+  expect(server !== undefined && view.isCold(server, 3_900)).to.equal(true);
+  expect(server !== undefined && view.isCold(server, 4_001)).to.equal(false);
+});
+
+it('a lapsed entry is used until its time, and returns if it is listed again', () => {
+  const view = viewOf([serverOf('s1', 'a1'), serverOf('s2', 'a1')]);
+  view.replaceServers([], 100, 2_100);
+  expect(view.mayUse(S1)).to.equal(true);
+  view.putServer(serverOf('s1', 'a1', { sequence: 2 }), 1_000);
+  expect(view.tick(2_100)).to.deep.equal(['s2']);
+  expect(view.mayUse(S1)).to.equal(true);
+});
+
+it('a revision is not published while removals are pending', () => {
+  const view = viewOf([serverOf('s1', 'a1')]);
+  view.removeServer(S1, 100, 2_100);
+  view.advance('servers', 54);
+  expect(view.revisions.servers).to.equal(1);
+  view.tick(2_100);
+  expect(view.revisions.servers).to.equal(54);
+});
+
+it('only newer facts of another entry VM are taken', () => {
+  const view = viewOf([serverOf('s1', 'a1')]);
+  const other = new FleetView();
+  other.setPlan(planOf(2));
+  other.advance('plan', 7);
+  expect(view.merge(other.snapshot(), 10)).to.deep.equal(['plan']);
+  expect(view.plan?.version).to.equal(2);
+  expect(view.mayUse(S1)).to.equal(true);
+  expect(view.merge(other.snapshot(), 20)).to.deep.equal([]);
+});
--- /dev/null
+++ b/src/coordination/tests/placers.test.ts
@@ -0,0 +1,112 @@
+/** Where requests are placed. */
+import { expect } from 'chai';
+import type { BackendServerId, FailureDomainId, RegionId } from '../../state/index.js';
+import type { Placement, Placer } from '../placers.js';
+import { placeOf, placerOf, routeOf, serverOf, viewOf } from './plans.js';
+
+function placed(placer: Placer, key: string, nowMs = 0): Placement {
+  const outcome = placer.place(placeOf(key), nowMs);
+  if (outcome.type !== 'place') throw new Error(`not placed: ${outcome.type}`);
+  return outcome.placement;
+}
+
+const FOUR = ['s1', 's2', 's3', 's4'].map((id) => serverOf(id, 'a1'));
+const KEYS = Array.from({ length: 60 }, (_, i) => `key-${i}`);
+
+it('entry VMs of one region agree on the home of an object', () => {
+  const servers = [...FOUR, serverOf('s5', 'a2'), serverOf('s6', 'a2')];
+  const first = placerOf(viewOf(servers), 'a1');
+  const second = placerOf(viewOf(servers), 'a2');
+  KEYS.forEach((key) => {
+    const [one, two] = [placed(first, key), placed(second, key)];
+    expect(one.server.record.id).to.equal(two.server.record.id);
+  });
+});
+
+it('a server that comes moves only the objects that it takes over', () => {
+  const before = placerOf(viewOf(FOUR));
+  const after = placerOf(viewOf([...FOUR, serverOf('s5', 'a1')]));
+  const moved = KEYS.filter((key) => {
+    const now = placed(after, key).server.record.id;
+    return now !== placed(before, key).server.record.id && now !== 's5';
+  });
+  expect(moved).to.deep.equal([]);
+});
+
+it('a busy home is left only when its queue costs more than work that is new to a server', () => {
+  const placer = placerOf(viewOf(FOUR));
+  const home = placed(placer, 'key').server.record.id;
+  const load = placer.load(home);
+  load.sent();
+  load.sent();
+  expect(placed(placer, 'key').server.record.id).to.equal(home);
+  Array.from({ length: 3 }, () => load.sent());
+  expect(placed(placer, 'key').server.record.id).not.to.equal(home);
+});
+
+it('a server that fails and one that rests are avoided', () => {
+  const placer = placerOf(viewOf(FOUR));
+  const home = placed(placer, 'key').server.record.id;
+  placer.load(home).rest(1_000);
+  expect(placed(placer, 'key', 10).server.record.id).not.to.equal(home);
+  const other = placerOf(viewOf(FOUR));
+  Array.from({ length: 6 }, () => other.load(home).ended('failed', 0));
+  expect(placed(other, 'key', 1).server.record.id).not.to.equal(home);
+});
+
+it('the most urgent work is let in where less urgent work waits', () => {
+  const servers = [serverOf('s1', 'a1')];
+  const urgent = routeOf({ objectiveMs: 1_000 });
+  const bulk = routeOf({ name: 'bulk', pathPrefix: '/bulk/', priority: 2, objectiveMs: 1_500 });
+  const view = viewOf(servers, {
+    ...viewOf([]).snapshot().plan!,
+    version: 2,
+    routes: [urgent, bulk],
+  });
+  const placer = placerOf(view);
+  Array.from({ length: 5 }, () => placer.load('s1' as BackendServerId).sent());
+  expect(placer.place(placeOf('k', { route: urgent }), 0).type).to.equal('place');
+  expect(placer.place(placeOf('k', { route: bulk }), 0).type).to.equal('wait');
+  const aged = placeOf('k', { route: bulk, waitedMs: 460 });
+  expect(placer.place(aged, 460).type).to.equal('place');
+});
+
+it('work that could only end too late is refused at once', () => {
+  const placer = placerOf(viewOf([serverOf('s1', 'a1')]));
+  Array.from({ length: 30 }, () => placer.load('s1' as BackendServerId).sent());
+  expect(placer.place(placeOf('k'), 0).type).to.equal('late');
+});
+
+it('a first try is never refused at a server where nothing waits', () => {
+  const placer = placerOf(viewOf([serverOf('s1', 'a1')]));
+  expect(placer.place(placeOf('k', { leftMs: 30 }), 0).type).to.equal('place');
+});
+
+it('a route keeps to the regions that it allows', () => {
+  const placer = placerOf(viewOf([serverOf('s1', 'a1'), serverOf('s2', 'b1')]));
+  const route = routeOf({ allowedRegions: ['b' as RegionId] });
+  KEYS.forEach((key) => {
+    const outcome = placer.place(placeOf(key, { route }), 0);
+    expect(outcome.type === 'place' && outcome.placement.server.record.id).to.equal('s2');
+  });
+  const nowhere = routeOf({ allowedRegions: ['c' as RegionId] });
+  expect(placer.place(placeOf('k', { route: nowhere }), 0).type).to.equal('noServer');
+});
+
+it('a region whose domains are all evacuated is left at once', () => {
+  const view = viewOf([serverOf('s1', 'a1'), serverOf('s2', 'b1')]);
+  const placer = placerOf(view);
+  placed(placer, 'key');
+  view.setEvacuated('a1' as FailureDomainId, true, 0);
+  KEYS.forEach((key) => expect(placed(placer, key).server.record.id).to.equal('s2'));
+});
+
+it('a cold server gets only what its two senders may send together', () => {
+  const view = viewOf([serverOf('s1', 'a1', { coldMs: 10_000 })]);
+  const placer = placerOf(view);
+  const sent = Array.from({ length: 200 }, (_, i) => placer.place(placeOf('k'), i * 5)).filter(
+    (outcome) => outcome.type === 'place',
+  );
+  // The server bears 2 a second, times 1.5, plus the slack; half of that is this entry VM's part.
+  expect(sent.length).to.be.greaterThan(0).and.at.most(3);
+});
--- a/src/transport/clocks.ts
+++ b/src/transport/clocks.ts
@@ -11,10 +11,12 @@
 /** Resolves after a while; at once when the signal is aborted. */
 export function pause(ms: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, ms);
-    signal?.addEventListener('abort', () => {
+    const end = (): void => {
       clearTimeout(timer);
+      signal?.removeEventListener('abort', end);
       resolve();
-    });
+    };
+    const timer = setTimeout(end, ms);
+    signal?.addEventListener('abort', end);
   });
 }
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -3,6 +3,7 @@
 export * from './callers.js';
 export * from './clocks.js';
 export * from './entries.js';
+export * from './lines.js';
 export * from './logs.js';
 export * from './metrics.js';
 export * from './nodes.js';
--- a/src/transport/lines.ts
+++ b/src/transport/lines.ts
@@ -9,6 +9,8 @@
   /** Most bytes that wait to be written. */
   readonly maxBytes: number;
   readonly nowMs: () => number;
+  /** The line that tells of lines that were dropped. */
+  readonly noteDropped: (count: number) => string;
   /** Writes text and tells when it is done. */
   readonly write: (text: string, done: () => void) => void;
 }
@@ -23,7 +25,10 @@
 export class LineWriter {
   readonly #options: LineWriterOptions;
 
-  readonly #bucket: TokenBucket;
+  readonly #routine: TokenBucket;
+
+  /** Warnings are not crowded out by routine lines. */
+  readonly #urgent: TokenBucket;
 
   #waiting = '';
 
@@ -31,38 +36,45 @@
 
   #dropped = 0;
 
+  #idle: (() => void)[] = [];
+
   constructor(options: LineWriterOptions) {
     this.#options = options;
-    this.#bucket = new TokenBucket(options.perS, options.burst, options.nowMs());
+    this.#routine = new TokenBucket(options.perS, options.burst, options.nowMs());
+    this.#urgent = new TokenBucket(options.perS, options.burst, options.nowMs());
   }
 
-  /** Lines that were dropped and not told of yet. */
-  get dropped(): number {
-    return this.#dropped;
-  }
-
-  /**
-   * Writes a line, or drops it.
-   *
-   * @param always - passes the bound on lines, not the one on bytes.
-   */
-  line(text: string, always: boolean): void {
-    const { maxBytes, nowMs } = this.#options;
-    const allowed = always || this.#bucket.take(1, nowMs());
+  /** Writes a line, or drops it. */
+  line(text: string, urgent: boolean): void {
+    const { maxBytes, nowMs, noteDropped } = this.#options;
+    const allowed = (urgent ? this.#urgent : this.#routine).take(1, nowMs());
     if (!allowed || this.#waiting.length + text.length > maxBytes) {
       this.#dropped += 1;
       return;
     }
     if (this.#dropped > 0) {
-      this.#waiting += `{"dropped":${this.#dropped}}\n`;
+      this.#waiting += `${noteDropped(this.#dropped)}\n`;
       this.#dropped = 0;
     }
     this.#waiting += `${text}\n`;
     this.#flush();
   }
 
+  /** Resolves once all lines are written, or their reader takes no more for a while. */
+  drained(patienceMs: number): Promise<void> {
+    if (!this.#writing) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#idle.push(resolve);
+      setTimeout(resolve, patienceMs);
+    });
+  }
+
   #flush(): void {
-    if (this.#writing || this.#waiting === '') return;
+    if (this.#writing) return;
+    if (this.#waiting === '') {
+      this.#idle.splice(0).forEach((resolve) => resolve());
+      return;
+    }
     const text = this.#waiting;
     this.#waiting = '';
     this.#writing = true;
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -15,6 +15,7 @@
   processStopping: { id: 102, level: 'info', text: 'process stops taking new work' },
   processStopped: { id: 103, level: 'info', text: 'process stopped' },
   invariantBroken: { id: 104, level: 'error', text: 'invariant broken, process ends' },
+  linesDropped: { id: 105, level: 'warn', text: 'log lines dropped, too many at once' },
   settingsInForce: { id: 201, level: 'info', text: 'settings version in force' },
   settingsRejected: {
     id: 202,
@@ -77,7 +78,7 @@
 export interface LoggerOptions {
   readonly level?: LogLevel;
   /** Takes each line. @default standard output */
-  readonly write?: (line: string) => void;
+  readonly write?: (line: string, level: LogLevel) => void;
   readonly wallMs?: () => number;
 }
 
@@ -96,7 +97,7 @@
     wallMs = Date.now,
   } = options;
   const logger = log.getLogger(`${process.program}/${process.entryVm}`);
-  logger.methodFactory = () => (line: string) => write(line);
+  logger.methodFactory = (method) => (line: string) => write(line, method as LogLevel);
   logger.setLevel(level, false);
   return (event, details = {}) => {
     const { id, level: eventLevel, text } = LOG_EVENTS[event];
