Let work leave its object's home only while its region has spare slots

Work whose home was late ran at servers that did not know the object; such a run takes over three times the slot time, so that in a burst the spill itself took the room and everything became late.

Change: above a utilization of 0.6 in the region, work waits for its home or one that knows the object, or is refused. A test of the placement failed first.

--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -94,6 +94,9 @@
 const URGENT_QUEUE = 0.8;
 const OTHER_QUEUE = 0.34;
 
+/** Utilization of a region below which work may leave its object's home. */
+const SPILL_UTILIZATION = 0.6;
+
 /** Part of the latency objective after which waiting work counts as urgent. */
 const AGED = 0.3;
 
@@ -108,6 +111,8 @@
 }
 
 interface Candidate extends Placement {
+  /** Whether the server is the object's home, knows it, or no object is named. */
+  readonly settled: boolean;
   readonly cost: number;
   readonly waitMs: number;
   readonly occupancy: number;
@@ -205,7 +210,8 @@
     const candidates = this.#candidates(request, nowMs);
     if (candidates.length === 0) return { type: 'noServer' };
     const ranked = [...candidates].sort((x, y) => x.cost - y.cost);
-    const timely = ranked.filter((each) => !this.#isLate(request, each));
+    const spare = hasSpareSlots(candidates);
+    const timely = ranked.filter((each) => (spare || each.settled) && !this.#isLate(request, each));
     const [best] = ranked;
     if (best === undefined) return { type: 'noServer' };
     if (timely.length === 0) {
@@ -338,7 +344,18 @@
     const bytesMs = this.#byteMs(record.failureDomain) * times.bytes;
     const cost =
       expectedMs + bytesMs + load.failureRate(nowMs) * FAILURE_COST_MS - (first ? STAY_MS : 0);
-    return { server, warm, expectedMs, slowMs, queued: ahead > 0, cost, waitMs, occupancy };
+    const settled = warm || first || request.key === undefined;
+    return {
+      server,
+      warm,
+      settled,
+      expectedMs,
+      slowMs,
+      queued: ahead > 0,
+      cost,
+      waitMs,
+      occupancy,
+    };
   }
 
   #sharesOf(service: ServiceName, nowMs: number): RegionShares {
@@ -428,6 +445,13 @@
 /** Weight of a region without a share: it is taken when no other is open. */
 const MIN_SHARE = 1e-6;
 
+/** Whether work may run where its object is not known: that takes several times the slot time. */
+function hasSpareSlots(candidates: readonly Candidate[]): boolean {
+  const slots = candidates.reduce((sum, each) => sum + each.server.record.slots, 0);
+  const work = candidates.reduce((sum, each) => sum + each.occupancy, 0);
+  return work < slots * SPILL_UTILIZATION;
+}
+
 /** Names an object among those that a server may remember. */
 function warmKey(route: RoutePlan, key: string): string {
   return `${route.name}|${key}`;
--- a/src/coordination/tests/placers.test.ts
+++ b/src/coordination/tests/placers.test.ts
@@ -44,6 +44,17 @@
   expect(placed(placer, 'key').server.record.id).not.to.equal(home);
 });
 
+it('in a busy region work waits for its home rather than take more slot time elsewhere', () => {
+  const placer = placerOf(viewOf(FOUR));
+  const home = placed(placer, 'key').server.record.id;
+  FOUR.filter(({ id }) => id !== home).forEach(({ id }) => {
+    placer.load(id).sent();
+    placer.load(id).sent();
+  });
+  Array.from({ length: 6 }, () => placer.load(home).sent());
+  expect(placer.place(placeOf('key'), 0).type).to.equal('late');
+});
+
 it('a server that fails and one that rests are avoided', () => {
   const placer = placerOf(viewOf(FOUR));
   const home = placed(placer, 'key').server.record.id;
