Judge a repeat by the time that is left; give a caller the server's own failure when no repeat comes

Change: of a repeat only the time that is left is judged; a genuine failure is kept until a repeat has done better.

--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -39,7 +39,7 @@
 const UNAVAILABLE = 503;
 
 /** Statuses that promise callers that nothing ran: a server that ran the work may not give them. */
-const PROMISES = new Set([408, 421, 429, UNAVAILABLE]);
+export const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, UNAVAILABLE]);
 
 /** Decides how to go on after a try. A repeat that is paid for may still find the budget empty. */
 export function afterAttempt(end: AttemptEnd, progress: AttemptProgress): AttemptVerdict {
--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -37,6 +37,8 @@
   readonly waitedMs: number;
   /** Time until the request is of no use, in milliseconds. */
   readonly leftMs: number;
+  /** Whether it was sent before: then only the time that is left counts, not what it waited. */
+  readonly repeated: boolean;
   /** Backend servers that it was sent to before. */
   readonly tried: ReadonlySet<BackendServerId>;
   /** Whether it may run on servers that it was sent to before, when there are no others. */
@@ -237,7 +239,8 @@
   }
 
   /** Refuses what must wait so long that others would miss their objective as well. */
-  #isLate({ route, waitedMs, leftMs }: PlaceRequest, candidate: Candidate): boolean {
+  #isLate({ route, waitedMs, leftMs, repeated }: PlaceRequest, candidate: Candidate): boolean {
+    if (repeated) return candidate.expectedMs > leftMs;
     if (candidate.waitMs <= 0 && waitedMs <= 0) return false;
     if (candidate.expectedMs > leftMs) return true;
     const { warmMs } = this.#time(route);
--- a/src/coordination/tests/placers.test.ts
+++ b/src/coordination/tests/placers.test.ts
@@ -88,6 +88,14 @@
   expect(placer.place(placeOf('k'), 0).type).to.equal('late');
 });
 
+it('a repeat is not refused for the time that its first try took', () => {
+  const placer = placerOf(viewOf(FOUR));
+  const repeat = placeOf('k', { waitedMs: 700, leftMs: 1_800, repeated: true });
+  expect(placer.place(repeat, 700).type).to.equal('place');
+  const hopeless = placeOf('k', { waitedMs: 2_400, leftMs: 100, repeated: true });
+  expect(placer.place(hopeless, 2_400).type).to.equal('late');
+});
+
 it('a first try is never refused at a server where nothing waits', () => {
   const placer = placerOf(viewOf([serverOf('s1', 'a1')]));
   expect(placer.place(placeOf('k', { leftMs: 30 }), 0).type).to.equal('place');
--- a/src/coordination/tests/plans.ts
+++ b/src/coordination/tests/plans.ts
@@ -99,6 +99,7 @@
     key,
     waitedMs: 0,
     leftMs: 2_500,
+    repeated: false,
     tried: new Set(),
     mayReuse: true,
     ...change,
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -1,6 +1,6 @@
 /** Carries callers' requests to backend servers and their answers back. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Waitlist, afterAttempt } from '../coordination/index.js';
+import { PROMISES, Waitlist, afterAttempt } from '../coordination/index.js';
 import type {
   AttemptEnd,
   FleetView,
@@ -74,6 +74,8 @@
   tries: number;
   /** Backend servers that may have run it. */
   runs: number;
+  /** A server's own failure, for the caller if no repeat comes about. */
+  failure: UpstreamAnswer | undefined;
   waiting: boolean;
   ended: boolean;
   timer: NodeJS.Timeout | undefined;
@@ -176,6 +178,7 @@
       open: new Set(),
       tries: 0,
       runs: 0,
+      failure: undefined,
       waiting: false,
       ended: false,
       timer: undefined,
@@ -199,6 +202,7 @@
         key: route.affinity ? fields.affinityKey : undefined,
         waitedMs: nowMs - arrivedMs,
         leftMs: exchange.endsMs - nowMs,
+        repeated: exchange.tries > 0,
         tried,
         mayReuse: runs === 0 || route.idempotent,
       },
@@ -228,7 +232,8 @@
       leftMs: Math.round(exchange.endsMs - this.#now()),
       waiting: this.#waitlist.size,
     });
-    this.#finish(exchange, exchange.runs > 0 ? asUnknown(failure) : failure, waitMs);
+    if (exchange.failure !== undefined) this.#deliver(exchange, exchange.failure);
+    else this.#finish(exchange, exchange.runs > 0 ? asUnknown(failure) : failure, waitMs);
   }
 
   #send(exchange: Exchange, placement: Placement): void {
@@ -324,7 +329,10 @@
         break;
       case 'again':
         if (!verdict.paid) this.#place(exchange);
-        else if (!this.#again(exchange, result.type)) this.#giveUp(exchange, result, end);
+        else {
+          if (isOwnFailure(result) && end.type === 'answered') exchange.failure = end.answer;
+          if (!this.#again(exchange, result.type)) this.#giveUp(exchange);
+        }
         break;
       case 'wait':
         break;
@@ -332,7 +340,8 @@
         this.#finish(exchange, notRun('overloaded'));
         break;
       case 'unknown':
-        this.#finish(exchange, unknown('connection_lost'));
+        if (exchange.failure !== undefined) this.#deliver(exchange, exchange.failure);
+        else this.#finish(exchange, unknown('connection_lost'));
         break;
       default:
         verdict satisfies never;
@@ -340,12 +349,14 @@
   }
 
   /** Ends a request that would be repeated if the budget were not spent. */
-  #giveUp(exchange: Exchange, result: AttemptEnd, end: UpstreamEnd): void {
+  #giveUp(exchange: Exchange): void {
     if (exchange.open.size > 0) return;
-    if (result.type === 'answered' && result.genuine && end.type === 'answered') {
-      this.#deliver(exchange, end.answer);
-    } else if (exchange.runs === 0) this.#finish(exchange, notRun('overloaded'));
-    else this.#finish(exchange, unknown('connection_lost'));
+    if (exchange.failure !== undefined) this.#deliver(exchange, exchange.failure);
+    else
+      this.#finish(
+        exchange,
+        exchange.runs === 0 ? notRun('overloaded') : unknown('connection_lost'),
+      );
   }
 
   /** What an end means: an answer that is not the server's own to this request is none. */
@@ -479,6 +490,11 @@
   }
 }
 
+/** Whether a server's own answer is a failure that a caller may be given as it is. */
+function isOwnFailure(result: AttemptEnd): boolean {
+  return result.type === 'answered' && result.genuine && !PROMISES.has(result.status);
+}
+
 /** Whether a refusal is one of this request: refusals need not name it. */
 function belongs(said: ServerFields, fields: CallerFields): boolean {
   return said.requestId === undefined || said.requestId === fields.requestId;
