--- a/src/coordination/placers.ts
+++ b/src/coordination/placers.ts
@@ -8,8 +8,9 @@
   RoutePlan,
   ServiceName,
 } from '../state/index.js';
+import { DOMAIN_MS_PER_BYTE, Distances } from './distances.js';
 import type { FleetView, KnownServer } from './fleetviews.js';
-import { KeyCount } from './keycounts.js';
+import { RouteTimes } from './routetimes.js';
 import { RegionShares } from './regionshares.js';
 import type { RegionRoom } from './regionshares.js';
 import { rendezvousTop } from './rendezvous.js';
@@ -65,18 +66,6 @@
   | { readonly type: 'late'; readonly waitMs: number; readonly expectedMs: number }
   | { readonly type: 'noServer' };
 
-/** Work expected of a run before any was seen, over the route's latency objective. */
-const FIRST_COLD = 1.6;
-const FIRST_WARM = 0.5;
-
-/** Cost of passing bytes between failure domains and regions, in milliseconds for each byte. */
-const DOMAIN_MS_PER_BYTE = 0.002;
-const REGION_MS_PER_BYTE = 0.006;
-
-/** Round trips assumed between failure domains and regions until they are measured, in ms. */
-const DOMAIN_TRIP_MS = 3;
-const REGION_TRIP_MS = 80;
-
 /**
  * Weight of the way to a region when shares are set: a longer way within the latency objective is
  * cheaper than what moving objects to servers that do not know them costs.
@@ -105,13 +94,6 @@
 /** Part of the latency objective that work may wait at least before it is refused. */
 const MIN_WAIT = 0.25;
 
-interface RunTime {
-  warmMs: number;
-  coldMs: number;
-  bytes: number;
-  readonly keys: KeyCount;
-}
-
 interface Candidate extends Placement {
   /** Whether the server is the object's home, knows it, or no object is named. */
   readonly settled: boolean;
@@ -129,11 +111,11 @@
 
   readonly #shares = new Map<ServiceName, RegionShares>();
 
-  readonly #times = new Map<string, RunTime>();
+  readonly #times = new RouteTimes();
 
   readonly #serviceMs = new Map<ServiceName, number>();
 
-  readonly #tripMs = new Map<FailureDomainId, number>();
+  readonly #distances: Distances;
 
   readonly #warmups: Warmups;
 
@@ -142,6 +124,7 @@
   constructor(view: FleetView, options: PlacerOptions) {
     this.#view = view;
     this.#options = options;
+    this.#distances = new Distances(options.home, options.regions);
     this.#warmups = new Warmups(options.self);
     this.#live = [options.self];
   }
@@ -169,13 +152,12 @@
 
   /** Measures the way to a failure domain by the time that a connection took. */
   connected(domain: FailureDomainId, tookMs: number): void {
-    const before = this.#tripMs.get(domain);
-    this.#tripMs.set(domain, before === undefined ? tookMs : Math.min(before * 1.1, tookMs));
+    this.#distances.connected(domain, tookMs);
   }
 
   /** Counts a caller's request on an object. */
   arrived(route: RoutePlan, key: string, nowMs: number): void {
-    this.#time(route).keys.add(key, nowMs);
+    this.#times.of(route).keys.add(key, nowMs);
   }
 
   /** Learns from a whole answer. */
@@ -186,11 +168,11 @@
     bytes: number,
     nowMs: number,
   ): void {
-    const times = this.#time(route);
+    const times = this.#times.of(route);
     times.bytes = ewma(times.bytes, bytes);
     const { record } = placement.server;
     const load = this.load(record.id);
-    const runMs = Math.max(1, tookMs - this.#trip(record.failureDomain));
+    const runMs = Math.max(1, tookMs - this.#distances.tripMs(record.failureDomain));
     this.#serviceMs.set(record.service, ewma(this.#serviceMs.get(record.service), runMs));
     if (placement.queued) return;
     const expected = placement.warm ? times.warmMs : times.coldMs;
@@ -243,7 +225,7 @@
     if (repeated) return candidate.expectedMs > leftMs;
     if (candidate.waitMs <= 0 && waitedMs <= 0) return false;
     if (candidate.expectedMs > leftMs) return true;
-    const { warmMs } = this.#time(route);
+    const { warmMs } = this.#times.of(route);
     const patience = Math.max(route.objectiveMs * MIN_WAIT, route.objectiveMs - warmMs);
     return waitedMs + candidate.waitMs > patience;
   }
@@ -320,7 +302,7 @@
    * passing answers between the domains costs more than the objects' first runs in each.
    */
   #staysInDomain(route: RoutePlan): boolean {
-    const { bytes, warmMs, coldMs, keys } = this.#time(route);
+    const { bytes, warmMs, coldMs, keys } = this.#times.of(route);
     return bytes * DOMAIN_MS_PER_BYTE > (coldMs - warmMs) * keys.newShare;
   }
 
@@ -331,7 +313,7 @@
   #candidate(request: PlaceRequest, server: KnownServer, first: boolean, nowMs: number): Candidate {
     const { record } = server;
     const load = this.load(record.id);
-    const times = this.#time(request.route);
+    const times = this.#times.of(request.route);
     const warm =
       request.key !== undefined &&
       (load.isWarm(warmKey(request.route, request.key), nowMs) ||
@@ -341,10 +323,12 @@
     const ahead = Math.max(0, occupancy + 1 - record.slots);
     const waitMs = (ahead / record.slots) * this.#meanMs(record.service) * speed;
     const runMs = (warm ? times.warmMs : times.coldMs) * speed;
-    const expectedMs = this.#trip(record.failureDomain) + waitMs + runMs;
+    const expectedMs = this.#distances.tripMs(record.failureDomain) + waitMs + runMs;
     const slowMs =
-      this.#trip(record.failureDomain) + waitMs + Math.max(runMs, times.coldMs) * SLOW_FACTOR;
-    const bytesMs = this.#byteMs(record.failureDomain) * times.bytes;
+      this.#distances.tripMs(record.failureDomain) +
+      waitMs +
+      Math.max(runMs, times.coldMs) * SLOW_FACTOR;
+    const bytesMs = this.#distances.byteMs(record.failureDomain) * times.bytes;
     const cost =
       expectedMs + bytesMs + load.failureRate(nowMs) * FAILURE_COST_MS - (first ? STAY_MS : 0);
     const settled = warm || first || request.key === undefined;
@@ -382,7 +366,8 @@
       const region = this.#regionOf(record.failureDomain);
       if (region === undefined || load.resting(nowMs)) return;
       const distanceMs =
-        this.#trip(record.failureDomain) * TRIP_WEIGHT + this.#byteMs(record.failureDomain) * bytes;
+        this.#distances.tripMs(record.failureDomain) * TRIP_WEIGHT +
+        this.#distances.byteMs(record.failureDomain) * bytes;
       const room = rooms.get(region) ?? { slots: 0, work: 0, distanceMs };
       room.slots += record.slots;
       room.work += load.occupancy(nowMs);
@@ -402,41 +387,12 @@
     const routes = (this.#view.plan?.routes ?? []).filter((route) =>
       route.targets.some((target) => target.service === service),
     );
-    const sizes = routes.flatMap((route) => this.#times.get(route.name)?.bytes ?? []);
-    return sizes.length === 0 ? 0 : sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
-  }
-
-  #byteMs(domain: FailureDomainId): number {
-    const { home, regions } = this.#options;
-    if (domain === home) return 0;
-    return regions.get(domain) === regions.get(home) ? DOMAIN_MS_PER_BYTE : REGION_MS_PER_BYTE;
-  }
-
-  #trip(domain: FailureDomainId): number {
-    const known = this.#tripMs.get(domain);
-    if (known !== undefined) return known;
-    const { home, regions } = this.#options;
-    if (domain === home) return 0;
-    return regions.get(domain) === regions.get(home) ? DOMAIN_TRIP_MS : REGION_TRIP_MS;
+    return this.#times.meanBytes(routes);
   }
 
   #meanMs(service: ServiceName): number {
     return this.#serviceMs.get(service) ?? DEFAULT_RUN_MS;
   }
-
-  #time(route: RoutePlan): RunTime {
-    const known = this.#times.get(route.name);
-    if (known !== undefined) return known;
-    const usualMs = Math.min(route.objectiveMs, route.timeoutMs / 2);
-    const time = {
-      warmMs: usualMs * FIRST_WARM,
-      coldMs: usualMs * FIRST_COLD,
-      bytes: 0,
-      keys: new KeyCount(),
-    };
-    this.#times.set(route.name, time);
-    return time;
-  }
 }
 
 /** Usual time of a run before any was seen, in milliseconds. */
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -1,6 +1,6 @@
 /** Carries callers' requests to backend servers and their answers back. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { PROMISES, Waitlist, afterAttempt } from '../coordination/index.js';
+import { Waitlist, afterAttempt } from '../coordination/index.js';
 import type {
   AttemptEnd,
   FleetView,
@@ -9,16 +9,19 @@
   Placer,
   RepeatBudget,
 } from '../coordination/index.js';
-import { CODE_HEADER, OUTCOME_HEADER, endToEnd, outcomeText, statusOf } from '../protocol/index.js';
-import type { CallerFields, Dialect, ServerFields } from '../protocol/index.js';
+import { endToEnd, statusOf } from '../protocol/index.js';
+import type { Dialect } from '../protocol/index.js';
 import { asUnknown, notRun, unknown } from '../state/index.js';
-import type { BackendServerId, Failure, RoutePlan, ServiceName } from '../state/index.js';
+import type { Failure } from '../state/index.js';
 import { readHead } from './bodies.js';
+import { writeAnswer, writeFailure } from './callerreplies.js';
 import type { Clock } from './clocks.js';
+import { isOwnFailure, judge, runEndOf } from './exchanges.js';
+import type { Exchange, Try } from './exchanges.js';
 import type { Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
 import type { UpstreamPool } from './pools.js';
-import type { UpstreamAnswer, UpstreamCall, UpstreamEnd } from './upstreams.js';
+import type { UpstreamAnswer, UpstreamEnd } from './upstreams.js';
 
 /** Time between two offers to waiting requests, in milliseconds. */
 const TICK_MS = 25;
@@ -33,8 +36,6 @@
 const RETRY_AFTER_MS = 200;
 const RETRY_AFTER_JITTER_MS = 400;
 
-const SERVICE_UNAVAILABLE = 503;
-
 export interface CarrierOptions {
   readonly view: FleetView;
   readonly placer: Placer;
@@ -50,37 +51,6 @@
   readonly stopping: () => boolean;
 }
 
-/** One try of a request at one backend server. */
-interface Try {
-  readonly placement: Placement;
-  readonly startedMs: number;
-  call: UpstreamCall | undefined;
-  slow: NodeJS.Timeout | undefined;
-}
-
-/** One caller's request from its arrival to its end. */
-interface Exchange {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly fields: CallerFields;
-  readonly route: RoutePlan;
-  readonly service: ServiceName;
-  readonly body: Buffer | undefined;
-  readonly arrivedMs: number;
-  /** When the caller or the route gives up. */
-  readonly endsMs: number;
-  readonly tried: Set<BackendServerId>;
-  readonly open: Set<Try>;
-  tries: number;
-  /** Backend servers that may have run it. */
-  runs: number;
-  /** A server's own failure, for the caller if no repeat comes about. */
-  failure: UpstreamAnswer | undefined;
-  waiting: boolean;
-  ended: boolean;
-  timer: NodeJS.Timeout | undefined;
-}
-
 export class Carrier {
   readonly #options: CarrierOptions;
 
@@ -304,9 +274,9 @@
     exchange.open.delete(attempt);
     const nowMs = this.#now();
     const { record } = attempt.placement.server;
-    const result = this.#judge(exchange, end);
+    const result = judge(this.#options.dialect, exchange.fields, end);
     const load = this.#options.placer.load(record.id);
-    load.ended(endOf(result), nowMs);
+    load.ended(runEndOf(result), nowMs);
     if (end.type === 'answered') this.#learn(exchange, attempt, end.answer, result, nowMs);
     if (end.type === 'unreachable') this.#options.pool.rest(record.id, end.reason);
     if (result.type === 'unreachable' || result.type === 'rejected') exchange.runs -= 1;
@@ -359,17 +329,6 @@
       );
   }
 
-  /** What an end means: an answer that is not the server's own to this request is none. */
-  #judge(exchange: Exchange, end: UpstreamEnd): AttemptEnd {
-    if (end.type !== 'answered') return { type: end.type };
-    const { status, headers } = end.answer;
-    const said = this.#options.dialect.readServer(status, headers);
-    if (said.notRun && status >= 400 && belongs(said, exchange.fields)) return { type: 'rejected' };
-    const genuine = said.signed && said.requestId === exchange.fields.requestId;
-    if (!genuine && (status < 400 || said.requestId !== undefined)) return { type: 'lost' };
-    return { type: 'answered', status, genuine };
-  }
-
   #learn(
     exchange: Exchange,
     attempt: Try,
@@ -400,18 +359,7 @@
   #deliver(exchange: Exchange, answer: UpstreamAnswer): void {
     const { res, req } = exchange;
     if (!this.#close(exchange, answer.status, undefined)) return;
-    const headers = endToEnd(answer.headers);
-    delete headers['content-length'];
-    if (this.#options.stopping()) headers.connection = 'close';
-    const length =
-      req.method === 'HEAD' ? answer.headers['content-length'] : String(answer.body.length);
-    if (!answer.framed) {
-      // Ends with its connection here as well: nobody can tell whether it is whole.
-      headers.connection = 'close';
-      res.useChunkedEncodingByDefault = false;
-    } else if (length !== undefined) headers['content-length'] = length;
-    res.writeHead(answer.status, headers);
-    res.end(answer.body);
+    writeAnswer(req, res, answer, this.#options.stopping());
   }
 
   #finish(exchange: Exchange, failure: Failure, waitMs = 0): void {
@@ -469,20 +417,8 @@
   }
 
   #fail(res: ServerResponse, failure: Failure, waitMs = 0): void {
-    if (res.headersSent || res.destroyed) return;
-    const status = statusOf(failure);
-    const headers: Record<string, string> = {
-      [OUTCOME_HEADER]: outcomeText(failure),
-      [CODE_HEADER]: failure.code,
-      'content-length': '0',
-    };
-    if (status === SERVICE_UNAVAILABLE) {
-      const pauseMs = waitMs + Math.random() * RETRY_AFTER_JITTER_MS;
-      headers['retry-after'] = (pauseMs / 1000).toFixed(2);
-    }
-    if (this.#options.stopping()) headers.connection = 'close';
-    res.writeHead(status, headers);
-    res.end();
+    const retryAfterMs = waitMs + Math.random() * RETRY_AFTER_JITTER_MS;
+    writeFailure(res, failure, retryAfterMs, this.#options.stopping());
   }
 
   #now(): number {
@@ -490,23 +426,6 @@
   }
 }
 
-/** Whether a server's own answer is a failure that a caller may be given as it is. */
-function isOwnFailure(result: AttemptEnd): boolean {
-  return result.type === 'answered' && result.genuine && !PROMISES.has(result.status);
-}
-
-/** Whether a refusal is one of this request: refusals need not name it. */
-function belongs(said: ServerFields, fields: CallerFields): boolean {
-  return said.requestId === undefined || said.requestId === fields.requestId;
-}
-
-function endOf(result: AttemptEnd): 'served' | 'failed' | 'rejected' | 'unreachable' {
-  if (result.type === 'answered') {
-    return result.genuine && result.status < 500 ? 'served' : 'failed';
-  }
-  return result.type === 'lost' ? 'failed' : result.type;
-}
-
 function pathOf(url: string): string {
   return url.split('?')[0] ?? url;
 }
