Log from where and how late a plan came, and when facts fall behind

Metrics: lovagesail_plan_version, lovagesail_plans_total by source, lovagesail_facts_behind_seconds, lovagesail_store_answer_age_seconds. No decision is changed.

--- a/src/coordination/fleetviews.ts
+++ b/src/coordination/fleetviews.ts
@@ -40,6 +40,8 @@
   readonly kinds: readonly FactKind[];
   /** Backend servers that are gone. */
   readonly gone: readonly BackendServerId[];
+  /** Whether the snapshot's plan is now in force. */
+  readonly planTaken: boolean;
 }
 
 /** A choice of service for each request of a route, in proportion to the weights. */
@@ -308,11 +310,12 @@
   merge(snapshot: FactSnapshot, nowMs: number): Merged {
     const before = [...this.#servers.keys()];
     const newer = FACT_KINDS.filter((kind) => snapshot.revisions[kind] > this.#revisions[kind]);
-    if (newer.includes('plan') && snapshot.plan !== undefined) this.setPlan(snapshot.plan);
+    const planTaken =
+      newer.includes('plan') && snapshot.plan !== undefined && this.setPlan(snapshot.plan);
     if (newer.includes('servers')) this.#mergeServers(snapshot, nowMs);
     if (newer.includes('evacuations')) this.replaceEvacuations(snapshot.evacuations, nowMs);
     newer.forEach((kind) => this.advance(kind, snapshot.revisions[kind]));
-    return { kinds: newer, gone: before.filter((id) => !this.#servers.has(id)) };
+    return { kinds: newer, gone: before.filter((id) => !this.#servers.has(id)), planTaken };
   }
 
   #bury(id: BackendServerId, bornMs: number, nowMs: number): void {
--- a/src/transport/beacons.ts
+++ b/src/transport/beacons.ts
@@ -22,6 +22,7 @@
 import type { Endpoint, Incarnation } from '../state/index.js';
 import type { Clock } from './clocks.js';
 import type { Logger } from './logs.js';
+import type { NodeMetrics } from './nodemetrics.js';
 import { splitEndpoint } from './peers.js';
 
 /** Time between two heartbeats, in milliseconds: four fit into the silence that counts as death. */
@@ -53,6 +54,7 @@
   readonly view: FleetView;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics: NodeMetrics;
   readonly ready: () => boolean;
   readonly stopping: () => boolean;
   /** Whether the platform's store is watched from here, and whether it answers. */
@@ -205,7 +207,10 @@
       this.#behindSinceMs = undefined;
       return;
     }
-    this.#behindSinceMs ??= nowMs;
+    if (this.#behindSinceMs === undefined) {
+      this.#behindSinceMs = nowMs;
+      this.#options.log('factsBehind', { peer: ahead.id, revisions: view.revisions });
+    }
     const patienceMs = assigned() ? BEHIND_MS : 0;
     if (nowMs - this.#behindSinceMs >= patienceMs) this.#ask(ahead, view.revisions);
   }
@@ -213,7 +218,7 @@
   async #ask(peer: PeerRecord, known: Revisions): Promise<void> {
     if (this.#asking) return;
     this.#asking = true;
-    const { view, log, onMerged } = this.#options;
+    const { view, log, metrics, onMerged } = this.#options;
     try {
       const body = await got(`http://${peer.peerAddress}${FACTS_PATH}?${revisionsToQuery(known)}`, {
         agent: { http: ASKING_AGENT },
@@ -221,15 +226,28 @@
         timeout: { request: FACTS_TIMEOUT_MS },
       }).json();
       const snapshot = SnapshotMessage.parse(body);
-      const merged = view.merge(snapshot, this.#now());
+      const before = view.plan?.version;
+      const nowMs = this.#now();
+      const merged = view.merge(snapshot, nowMs);
       if (merged.kinds.length > 0) {
+        const behindMs = nowMs - (this.#behindSinceMs ?? nowMs);
+        const { kinds, gone, planTaken } = merged;
+        metrics.caughtUp(behindMs);
         log('factsFromPeer', {
           peer: peer.id,
-          ...merged,
+          kinds,
+          gone,
           servers: snapshot.servers.length,
           whole: snapshot.gone === undefined,
           revisions: snapshot.revisions,
+          behindMs: Math.round(behindMs),
         });
+        if (planTaken) {
+          const plan = snapshot.plan?.version ?? 0;
+          metrics.planInForce(plan, 'peer');
+          const revision = snapshot.revisions.plan;
+          log('planInForce', { plan, before, source: peer.id, revision });
+        }
         onMerged(merged);
       }
     } catch (err) {
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -37,6 +37,9 @@
 const RETRY_AFTER_MS = 200;
 const RETRY_AFTER_JITTER_MS = 400;
 
+/** Characters of a caller's own text that a log line holds. */
+const MAX_LOGGED = 120;
+
 export interface CarrierOptions {
   readonly view: FleetView;
   readonly placer: Placer;
@@ -92,7 +95,11 @@
     const service = route === undefined ? undefined : view.nextService(route);
     if (route === undefined || service === undefined) {
       req.resume();
-      refuse('unknown_service', { plan: plan.version });
+      refuse('unknown_service', {
+        plan: plan.version,
+        host: req.headers.host?.slice(0, MAX_LOGGED),
+        path: req.url?.slice(0, MAX_LOGGED),
+      });
       return;
     }
     const leftMs = Math.min(fields.leftMs ?? DEFAULT_LEFT_MS, route.timeoutMs);
@@ -407,6 +414,7 @@
       route: route.name,
       status,
       code: failure?.code,
+      timeoutMs: route.timeoutMs,
       servers: [...exchange.tried],
       tries: exchange.tries,
       mayHaveRun: exchange.runs > 0,
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -3,7 +3,7 @@
 import { FACT_KINDS } from '../coordination/index.js';
 import type { FactKind, FleetView } from '../coordination/index.js';
 import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
-import type { BackendServerId } from '../state/index.js';
+import type { BackendServerId, SteeringPlan } from '../state/index.js';
 import type { Clock } from './clocks.js';
 import { pause } from './clocks.js';
 import type { Logger } from './logs.js';
@@ -138,7 +138,7 @@
     const calledMs = this.#now();
     const batch = await this.#options.store.list(kind);
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
-    if (batch.isOk()) this.#takeList(kind, batch.value);
+    if (batch.isOk()) this.#takeList(kind, batch.value, calledMs);
     return batch;
   }
 
@@ -151,11 +151,11 @@
     this.#waiting.delete(kind);
     if (waiting.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
-    if (batch.isOk()) this.#takeChanges(kind, batch.value);
+    if (batch.isOk()) this.#takeChanges(kind, batch.value, calledMs);
     return batch;
   }
 
-  #takeList(kind: FactKind, batch: FactBatch): void {
+  #takeList(kind: FactKind, batch: FactBatch, calledMs: number): void {
     const { view, log } = this.#options;
     // Another entry VM has told newer facts meanwhile: the list would undo them.
     if (batch.revision < view.revisions[kind]) return;
@@ -171,7 +171,7 @@
     }
     if (kind === 'evacuations') view.replaceEvacuations(domains, nowMs);
     batch.facts.forEach((fact) => {
-      if (fact.type === 'plan' || fact.type === 'unreadable') this.#take(fact, batch);
+      if (fact.type === 'plan' || fact.type === 'unreadable') this.#take(fact, batch, calledMs);
     });
     // The newest object does not tell of those that were removed later.
     view.advance(kind, batch.revision);
@@ -179,20 +179,20 @@
     this.#options.onChange();
   }
 
-  #takeChanges(kind: FactKind, batch: FactBatch): void {
+  #takeChanges(kind: FactKind, batch: FactBatch, calledMs: number): void {
     const { view } = this.#options;
     if (batch.facts.length === 0) return;
-    batch.facts.forEach((fact) => this.#take(fact, batch));
+    batch.facts.forEach((fact) => this.#take(fact, batch, calledMs));
     view.advance(kind, batch.changedAt);
     this.#options.onChange();
   }
 
-  #take(fact: Fact, { revision }: FactBatch): void {
+  #take(fact: Fact, { revision }: FactBatch, calledMs: number): void {
     const { view, log } = this.#options;
     const nowMs = this.#now();
     switch (fact.type) {
       case 'plan':
-        if (view.setPlan(fact.plan)) log('planInForce', { plan: fact.plan.version, revision });
+        this.#takePlan(fact.plan, { revision, waitedMs: Math.round(nowMs - calledMs) });
         break;
       case 'server':
         if (view.putServer(fact.record, nowMs)) {
@@ -218,6 +218,19 @@
     }
   }
 
+  #takePlan(
+    plan: SteeringPlan,
+    how: { readonly revision: number; readonly waitedMs: number },
+  ): void {
+    const { view, log, metrics } = this.#options;
+    const before = view.plan?.version;
+    const details = { plan: plan.version, before, source: 'store', ...how };
+    if (view.setPlan(plan)) {
+      metrics.planInForce(plan.version, 'store');
+      log('planInForce', details);
+    } else if (before !== undefined && plan.version < before) log('planOutdated', details);
+  }
+
   #gone(id: BackendServerId, { revision }: Pick<FactBatch, 'revision'>): void {
     this.#options.log('serverGone', { server: id, revision });
     this.#options.onGone(id);
@@ -230,7 +243,7 @@
 
   #note(kind: FactKind, failure: StoreFailure | undefined, calledMs: number): void {
     const { log, metrics } = this.#options;
-    metrics.storeCall(failure ?? 'done');
+    metrics.storeCall(failure ?? 'done', this.#now());
     const down = failure !== undefined && failure !== 'history_gone';
     const lostMs = this.#lost.get(kind);
     if (down === (lostMs !== undefined)) return;
--- a/src/transport/nodemetrics.ts
+++ b/src/transport/nodemetrics.ts
@@ -28,8 +28,34 @@
     registers: [this.registry],
   });
 
-  /** @param inFlight - requests under way, read when the metrics are. */
-  constructor(inFlight: () => number) {
+  readonly #planVersion = new Gauge({
+    name: 'lovagesail_plan_version',
+    help: 'Version of the plan in force',
+    registers: [this.registry],
+  });
+
+  readonly #plans = new Counter({
+    name: 'lovagesail_plans_total',
+    help: "Plans taken, by where they came from: the platform's store or another entry VM",
+    labelNames: ['source'] as const,
+    registers: [this.registry],
+  });
+
+  readonly #behind = new Histogram({
+    name: 'lovagesail_facts_behind_seconds',
+    help: 'Time from learning that another entry VM has newer facts to having them',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  /** When the store last answered, monotonic, in milliseconds. */
+  #storeAnsweredMs: number | undefined;
+
+  /**
+   * @param inFlight - requests under way, read when the metrics are.
+   * @param nowMs - monotonic time in milliseconds.
+   */
+  constructor(inFlight: () => number, nowMs: () => number) {
     collectDefaultMetrics({ register: this.registry });
     const gauge: Gauge = new Gauge({
       name: 'lovagesail_requests_in_flight',
@@ -37,6 +63,14 @@
       registers: [this.registry],
       collect: () => gauge.set(inFlight()),
     });
+    const age: Gauge = new Gauge({
+      name: 'lovagesail_store_answer_age_seconds',
+      help: "Time since the platform's store last answered this entry VM",
+      registers: [this.registry],
+      collect: () => {
+        if (this.#storeAnsweredMs !== undefined) age.set((nowMs() - this.#storeAnsweredMs) / 1000);
+      },
+    });
   }
 
   ended(service: string, priority: number, outcome: string, tookMs: number): void {
@@ -47,7 +81,18 @@
     this.#lookups.inc();
   }
 
-  storeCall(result: string): void {
+  /** @param nowMs - monotonic time in milliseconds. */
+  storeCall(result: string, nowMs: number): void {
     this.#storeCalls.inc({ result });
+    if (result === 'done') this.#storeAnsweredMs = nowMs;
+  }
+
+  planInForce(version: number, source: 'store' | 'peer'): void {
+    this.#planVersion.set(version);
+    this.#plans.inc({ source });
+  }
+
+  caughtUp(behindMs: number): void {
+    this.#behind.observe(behindMs / 1000);
   }
 }
--- a/src/transport/nodes.ts
+++ b/src/transport/nodes.ts
@@ -106,7 +106,10 @@
       burst: retryBurst,
       windowMs: retryWindowS,
     });
-    this.#metrics = new NodeMetrics(() => this.#carrier.inFlight);
+    this.#metrics = new NodeMetrics(
+      () => this.#carrier.inFlight,
+      () => clock().nowMs,
+    );
     this.#pool = new UpstreamPool({
       view: this.#view,
       placer: this.#placer,
@@ -148,6 +151,7 @@
       view: this.#view,
       clock,
       log,
+      metrics: this.#metrics,
       ready: () => this.ready,
       stopping: () => this.#stopping,
       assigned: () => this.#watch.assigned,
