--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -73,6 +73,11 @@
     this.#server.close();
   }
 
+  /** Watches that wait for a change. */
+  get watching(): number {
+    return this.#waiting.size;
+  }
+
   /** Writes an object as its owner would. */
   put(kind: string, name: string, spec: unknown): void {
     this.#revision += 1;
@@ -155,6 +160,7 @@
       }
       await new Promise<void>((resolve) => {
         this.#waiting.add(resolve);
+        res.once('close', () => this.#waiting.delete(resolve));
         setTimeout(resolve, leftMs);
       });
     }
