Compare the store's revision with what watches have brought

Cause: a VM learnt of changes only from the end of a waiting call or from another VM whose call worked; a silent connection looks the same as a calm store, and nothing asked. Now each watcher asks for the store's revision every 1.2 s, on a new connection, and a ledger says which kinds may have missed a change: a revision that no watch has brought 0.3 s later and that is newer than the kind's last answer. Those ask anew at once and are answered, so that the same silence can't follow the renewal unseen. The same question is what tells of a store that comes back: after it all kinds ask anew. Holds of 24 to 29 s were tried with them and reverted: over the store's 20 s of history 11 watches were told that it is gone and listed anew.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -10,6 +10,7 @@
 export * from './distances.js';
 export * from './entries.js';
 export * from './fleetviews.js';
+export * from './revisionledgers.js';
 export * from './grants.js';
 export * from './items.js';
 export * from './keycounts.js';
--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -21,8 +21,8 @@
   readonly facts: readonly Fact[];
   /** The store's revision up to which the facts are complete; a watch goes on from it. */
   readonly revision: number;
-  /** The revision at which the newest of these facts was written; 0 without facts. */
-  readonly changedAt: number;
+  /** The revisions at which the objects that state these facts were written. */
+  readonly changes: readonly number[];
 }
 
 /** Why a call to the store brought nothing. */
@@ -53,6 +53,8 @@
     holdMs: number,
     signal: AbortSignal,
   ): Promise<Result<FactBatch, StoreFailure>>;
+  /** The store's revision now, by a call that waits for nothing. */
+  revision(): Promise<Result<number, StoreFailure>>;
   /** Where entry VMs wrote that they are. */
   peers(): Promise<Result<readonly PeerRecord[], StoreFailure>>;
   /** Writes where this entry VM is. */
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -1,6 +1,6 @@
 /** Keeps an entry VM's facts up to date with the platform's store. */
 import { Ok } from 'ts-results-es';
-import { FACT_KINDS } from '../coordination/index.js';
+import { FACT_KINDS, RevisionLedger } from '../coordination/index.js';
 import type { FactKind, FleetView } from '../coordination/index.js';
 import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
 import type { BackendServerId, SteeringPlan } from '../state/index.js';
@@ -9,10 +9,23 @@
 import type { Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
 
-/** Shortest and longest time for which a watch waits, in milliseconds. Each call is priced. */
+/** Shortest and longest time for which a watch waits, in milliseconds: the store keeps 20 s of history. */
 const MIN_HOLD_MS = 13_000;
 const MAX_HOLD_MS = 19_000;
 
+/**
+ * Time between two questions for the store's revision, in milliseconds. A watch whose connection has gone
+ * silent is found out by then; asking anew must still fit into the two seconds or so in which a change is
+ * to be in force.
+ */
+const CHECK_MS = 1_200;
+
+/**
+ * Time for a change that the store has told of elsewhere to arrive on a watch that works, in
+ * milliseconds: longer than a watch pauses after a change.
+ */
+const ARRIVING_MS = 300;
+
 /** Time after a change in which more are expected; one call then brings them all, in milliseconds. */
 const GATHER_MS = 250;
 
@@ -30,7 +43,17 @@
 const LAPSE_GRACE_MS = 2_000;
 
 /** What a watch brings that was ended early. */
-const NOTHING: FactBatch = { facts: [], revision: 0, changedAt: 0 };
+const NOTHING: FactBatch = { facts: [], revision: 0, changes: [] };
+
+/** A watch that waits for the store. */
+interface Waiting {
+  readonly call: AbortController;
+  /** When the call was made, monotonic, in milliseconds. */
+  readonly sinceMs: number;
+}
+
+/** A call whose failure is noted: a kind's list or watch, or the question for the store's revision. */
+type StoreCall = FactKind | 'revision';
 
 export interface FactWatchOptions {
   readonly store: FactStore;
@@ -49,10 +72,18 @@
 
   readonly #ended = new AbortController();
 
-  readonly #waiting = new Map<FactKind, AbortController>();
+  readonly #waiting = new Map<FactKind, Waiting>();
+
+  readonly #ledger = new RevisionLedger();
+
+  /** Kinds that are to ask at once for what they may have missed, instead of waiting. */
+  readonly #overdue = new Set<FactKind>();
 
-  /** Kinds whose last call failed, and when the store was last known not to answer it. */
-  readonly #lost = new Map<FactKind, number>();
+  /** Ends the pause before the next question for the store's revision. */
+  #checkSoon = new AbortController();
+
+  /** Calls that failed last time, and when the store was last known not to answer them. */
+  readonly #lost = new Map<StoreCall, number>();
 
   #returnedMs = -Infinity;
 
@@ -67,11 +98,13 @@
 
   start(): void {
     FACT_KINDS.forEach((kind) => this.#follow(kind));
+    this.#check();
   }
 
   stop(): void {
     this.#ended.abort();
-    this.#waiting.forEach((waiting) => waiting.abort());
+    this.#checkSoon.abort();
+    this.#waiting.forEach(({ call }) => call.abort());
   }
 
   get assigned(): boolean {
@@ -95,13 +128,44 @@
       this.#resume = [];
     } else {
       this.#lost.clear();
-      this.#waiting.forEach((waiting) => waiting.abort());
+      this.#waiting.forEach(({ call }) => call.abort());
     }
   }
 
-  /** Ends the waiting of a watch that misses what others have learnt; it asks anew. */
+  /** Ends the waiting of a watch that misses what others have learnt; it asks anew, and at once. */
   renew(kind: FactKind): void {
-    this.#waiting.get(kind)?.abort();
+    this.#overdue.add(kind);
+    this.#waiting.get(kind)?.call.abort();
+  }
+
+  /**
+   * Compares the store's revision with what the watches have brought. A watch that waits proves nothing:
+   * its connection may have gone silent.
+   */
+  async #check(): Promise<void> {
+    const { store } = this.#options;
+    while (!this.#ended.signal.aborted) {
+      if (!this.#assigned) await this.#untilAssigned();
+      await pause(CHECK_MS, this.#checkSoon.signal);
+      this.#checkSoon = new AbortController();
+      const calledMs = this.#now();
+      const revision = await store.revision();
+      this.#note('revision', revision.isErr() ? revision.error : undefined, calledMs);
+      if (revision.isOk() && this.#ledger.missing(revision.value).length > 0) {
+        await pause(ARRIVING_MS, this.#ended.signal);
+        this.#renewMissing(revision.value, calledMs);
+      }
+    }
+  }
+
+  /** Renews watches that were waiting when the store was asked and have not told of all changes. */
+  #renewMissing(revision: number, askedMs: number): void {
+    const kinds = this.#ledger
+      .missing(revision)
+      .filter((kind) => (this.#waiting.get(kind)?.sinceMs ?? Infinity) < askedMs);
+    if (kinds.length === 0) return;
+    this.#options.log('changesMissed', { kinds, revision });
+    kinds.forEach((kind) => this.renew(kind));
   }
 
   async #follow(kind: FactKind): Promise<void> {
@@ -138,20 +202,28 @@
     const calledMs = this.#now();
     const batch = await this.#options.store.list(kind);
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
-    if (batch.isOk()) this.#takeList(kind, batch.value, calledMs);
+    if (batch.isOk()) {
+      this.#ledger.answered(kind, batch.value.revision, []);
+      this.#takeList(kind, batch.value, calledMs);
+    }
     return batch;
   }
 
   async #watch(kind: FactKind, since: number): ReturnType<FactStore['list']> {
-    const waiting = new AbortController();
-    this.#waiting.set(kind, waiting);
-    const holdMs = Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
+    const call = new AbortController();
+    const holdMs = this.#overdue.delete(kind)
+      ? 0
+      : Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
     const calledMs = this.#now();
-    const batch = await this.#options.store.watch(kind, since, holdMs, waiting.signal);
+    this.#waiting.set(kind, { call, sinceMs: calledMs });
+    const batch = await this.#options.store.watch(kind, since, holdMs, call.signal);
     this.#waiting.delete(kind);
-    if (waiting.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
+    if (call.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
-    if (batch.isOk()) this.#takeChanges(kind, batch.value, calledMs);
+    if (batch.isOk()) {
+      this.#ledger.answered(kind, batch.value.revision, batch.value.changes);
+      this.#takeChanges(kind, batch.value, calledMs);
+    }
     return batch;
   }
 
@@ -183,7 +255,7 @@
     const { view } = this.#options;
     if (batch.facts.length === 0) return;
     batch.facts.forEach((fact) => this.#take(fact, batch, calledMs));
-    view.advance(kind, batch.changedAt);
+    view.advance(kind, Math.max(0, ...batch.changes));
     this.#options.onChange();
   }
 
@@ -241,24 +313,25 @@
     return Math.max(nowMs, this.#returnedMs + LAPSE_GRACE_MS);
   }
 
-  #note(kind: FactKind, failure: StoreFailure | undefined, calledMs: number): void {
+  #note(call: StoreCall, failure: StoreFailure | undefined, calledMs: number): void {
     const { log, metrics } = this.#options;
     metrics.storeCall(failure ?? 'done', this.#now());
     const down = failure !== undefined && failure !== 'history_gone';
-    const lostMs = this.#lost.get(kind);
+    const lostMs = this.#lost.get(call);
     if (down === (lostMs !== undefined)) return;
     const nowMs = this.#now();
     if (lostMs === undefined) {
-      this.#lost.set(kind, failure === 'silent' ? calledMs : nowMs);
-      log('storeLost', { kind, failure });
+      this.#lost.set(call, failure === 'silent' ? calledMs : nowMs);
+      log('storeLost', { call, failure });
+      // What one call has met, the others' connections may have met without noticing.
+      if (call !== 'revision') this.#checkSoon.abort();
     } else {
-      this.#lost.delete(kind);
+      this.#lost.delete(call);
       const outageMs = nowMs - lostMs;
       if (outageMs >= LAPSING_OUTAGE_MS) this.#returnedMs = nowMs;
-      log('storeRegained', { kind, outageMs: Math.round(outageMs) });
+      log('storeRegained', { call, outageMs: Math.round(outageMs) });
+      FACT_KINDS.filter((kind) => kind !== call).forEach((kind) => this.renew(kind));
     }
-    // What one call has met, the others' connections may have met without noticing.
-    FACT_KINDS.filter((other) => other !== kind).forEach((other) => this.renew(other));
   }
 
   #now(): number {
