Ask another entry VM when one does not hand over its facts

What callers saw: a plan in force seconds late, or not at all, at a VM whose own way to the store does not work. Now one that failed, or whose answer was no newer, is not asked again for a second, and the next nearest is asked at once, without waiting for a heartbeat. Ruled out: asking at once without the second's pause; two VMs that refuse connections would be asked in a tight loop.

--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -43,12 +43,17 @@
   stopping: boolean;
   watching: boolean;
   heardMs: number;
+  /** When it last failed to hand over facts that it said to have. */
+  failedMs: number;
   revisions: Revisions | undefined;
 }
 
 /** Silence after which an entry VM counts as dead, in milliseconds. */
 const SILENT_MS = 2_500;
 
+/** Time for which an entry VM that did not hand over its facts is not asked again, in milliseconds. */
+const FAILED_MS = 1_000;
+
 /** Entry VMs of a failure domain that watch the platform's store for the others. */
 const WATCHERS = 2;
 
@@ -84,6 +89,7 @@
         stopping: false,
         watching: false,
         heardMs: -Infinity,
+        failedMs: -Infinity,
         revisions: undefined,
       });
     } else known.record = record;
@@ -161,11 +167,18 @@
     return working < WATCHERS && before.length < MOST_WATCHERS;
   }
 
-  /** A live entry VM with newer facts, if there is one; the nearest first. */
+  /** Notes that an entry VM did not hand over its facts. */
+  failed(id: EntryVmId, nowMs: number): void {
+    const known = this.#peers.get(id);
+    if (known !== undefined) known.failedMs = nowMs;
+  }
+
+  /** The nearest live entry VM with newer facts that has not just failed to hand them over. */
   ahead(mine: Revisions, nowMs: number): PeerRecord | undefined {
     const peers = [...this.#peers.values()].filter(
       (peer) =>
         isLive(peer, nowMs) &&
+        nowMs - peer.failedMs >= FAILED_MS &&
         FACT_KINDS.some((kind) => (peer.revisions?.[kind] ?? 0) > mine[kind]),
     );
     const { failureDomain, region } = this.#self;
--- a/src/coordination/tests/watchers.test.ts
+++ b/src/coordination/tests/watchers.test.ts
@@ -76,3 +76,24 @@
   );
   expect(view.isWatcher(2_600)).to.equal(true);
 });
+
+// Guards against facts that are late because one entry VM that does not answer is asked again and again.
+it('an entry VM that did not hand over its facts is not asked again at once', () => {
+  const [self, near, far] = VMS as [EntryVmId, EntryVmId, EntryVmId];
+  const view = new PeerView(beatOf(self, 'a1').peer);
+  const revisions = { plan: 2, servers: 2, evacuations: 2 };
+  const hear = (nowMs: number): void => {
+    view.heard(beatOf(near, 'a1', { revisions }), nowMs);
+    view.heard(beatOf(far, 'a2', { revisions }), nowMs);
+  };
+  const asked = (nowMs: number): EntryVmId | undefined =>
+    view.ahead({ plan: 1, servers: 1, evacuations: 1 }, nowMs)?.id;
+  hear(0);
+  expect(asked(0)).to.equal(near);
+  view.failed(near, 1_000);
+  hear(1_100);
+  expect(asked(1_100)).to.equal(far);
+  view.failed(far, 1_500);
+  expect(asked(1_600)).to.equal(undefined);
+  expect(asked(2_100)).to.equal(near);
+});
--- a/src/transport/beacons.ts
+++ b/src/transport/beacons.ts
@@ -218,7 +218,7 @@
   async #ask(peer: PeerRecord, known: Revisions): Promise<void> {
     if (this.#asking) return;
     this.#asking = true;
-    const { view, log, metrics, onMerged } = this.#options;
+    const { view, peers, log, metrics, onMerged } = this.#options;
     try {
       const body = await got(`http://${peer.peerAddress}${FACTS_PATH}?${revisionsToQuery(known)}`, {
         agent: { http: ASKING_AGENT },
@@ -229,7 +229,8 @@
       const before = view.plan?.version;
       const nowMs = this.#now();
       const merged = view.merge(snapshot, nowMs);
-      if (merged.kinds.length > 0) {
+      if (merged.kinds.length === 0) peers.failed(peer.id, nowMs);
+      else {
         const behindMs = nowMs - (this.#behindSinceMs ?? nowMs);
         const { kinds, gone, planTaken } = merged;
         metrics.caughtUp(behindMs);
@@ -252,9 +253,12 @@
       }
     } catch (err) {
       log('peerFailed', { peer: peer.id, reason: String(err) });
+      peers.failed(peer.id, this.#now());
     } finally {
       this.#asking = false;
     }
+    // Another may have what this one did not hand over.
+    this.#catchUp(this.#now());
   }
 
   #now(): number {
