Fuzz plans as they reach entry VMs, old answers included

The stateful fuzzing of facts covered servers and evacuations only. Breaks made by hand and seen red: older versions taken ('a plan went back'); a hand-over's plan dropped while its revision counts ('an old plan').

--- a/src/protocol/tests/handovers.test.ts
+++ b/src/protocol/tests/handovers.test.ts
@@ -38,6 +38,9 @@
 
   evacuationsAt = 1;
 
+  /** Version of the plan, and when it was written. */
+  plan = { version: 1, revision: 1 };
+
   #sequence = 0;
 
   put(id: BackendServerId, draining: boolean, bornMs: number): void {
@@ -56,6 +59,11 @@
     this.evacuationsAt = this.revision;
   }
 
+  change(): void {
+    this.revision += 1;
+    this.plan = { version: this.plan.version + 3, revision: this.revision };
+  }
+
   records(): readonly BackendServerRecord[] {
     return [...this.last.values()].flatMap((change) => change.record ?? []);
   }
@@ -72,8 +80,13 @@
 class Vm {
   view = new FleetView();
 
+  /** The highest version of a plan that was in force since its start. */
+  version = 0;
+
   #known = 0;
 
+  #answer: Store['plan'] | undefined;
+
   /** The revision up to which it was told everything about servers. */
   get covered(): number {
     return Math.max(this.#known, this.view.revisions.servers);
@@ -85,9 +98,15 @@
     view.advance('servers', store.revision);
     view.replaceEvacuations([...store.evacuated], nowMs);
     view.advance('evacuations', store.revision);
+    this.#takePlan(store);
     this.#known = store.revision;
   }
 
+  #takePlan({ plan, revision }: Store): void {
+    this.view.setPlan(planOf(plan.version));
+    this.view.advance('plan', revision);
+  }
+
   watch(store: Store, nowMs: number): void {
     const since = this.covered;
     if (since < store.forgottenTo) {
@@ -101,12 +120,25 @@
     });
     const newest = changes.at(-1)?.revision;
     if (newest !== undefined) this.view.advance('servers', newest);
+    this.#takePlan(store);
     this.#known = store.revision;
   }
 
+  /** Takes an answer that the store gave at the last such step. */
+  late(store: Store): void {
+    if (this.#answer === undefined) this.#answer = { ...store.plan };
+    else {
+      const { version, revision } = this.#answer;
+      this.view.setPlan(planOf(version));
+      this.view.advance('plan', revision);
+      this.#answer = undefined;
+    }
+  }
+
   restart(store: Store, nowMs: number): void {
     this.view = new FleetView();
-    this.view.setPlan(planOf(1));
+    this.version = 0;
+    this.#answer = undefined;
     this.#known = 0;
     this.list(store, nowMs);
   }
@@ -122,8 +154,9 @@
   | { readonly type: 'reborn'; readonly server: number }
   | { readonly type: 'remove'; readonly server: number }
   | { readonly type: 'evacuate'; readonly domain: number }
-  | { readonly type: 'watch' | 'list' | 'restart'; readonly vm: number }
+  | { readonly type: 'watch' | 'list' | 'late' | 'restart'; readonly vm: number }
   | { readonly type: 'take'; readonly vm: number; readonly from: number }
+  | { readonly type: 'change' }
   | { readonly type: 'forget' }
   | { readonly type: 'pass' };
 
@@ -134,9 +167,12 @@
   fc.record({ type: fc.constant('reborn' as const), server }),
   fc.record({ type: fc.constant('remove' as const), server }),
   fc.record({ type: fc.constant('evacuate' as const), domain: fc.nat(DOMAINS.length - 1) }),
-  fc.record({ type: fc.constantFrom('watch' as const, 'list' as const, 'restart' as const), vm }),
+  fc.record({
+    type: fc.constantFrom('watch' as const, 'list' as const, 'late' as const, 'restart' as const),
+    vm,
+  }),
   fc.record({ type: fc.constant('take' as const), vm, from: vm }),
-  fc.record({ type: fc.constantFrom('forget' as const, 'pass' as const) }),
+  fc.record({ type: fc.constantFrom('change' as const, 'forget' as const, 'pass' as const) }),
 );
 
 const idOf = (n: number): BackendServerId => `s${n}` as BackendServerId;
@@ -171,6 +207,9 @@
       case 'evacuate':
         store.evacuate(DOMAINS[next.domain] as FailureDomainId);
         break;
+      case 'change':
+        store.change();
+        break;
       case 'take':
         this.vms[next.vm]?.take(this.vms[next.from] as Vm, this.#nowMs);
         break;
@@ -189,7 +228,14 @@
 
   /** What an entry VM was told of, directly or not, it must know. */
   check(): void {
-    this.vms.forEach(({ view, covered }) => {
+    this.vms.forEach((each) => {
+      const { view, covered } = each;
+      const version = view.plan?.version ?? 0;
+      expect(version, 'a plan went back').to.be.at.least(each.version);
+      each.version = version;
+      if (this.store.plan.revision <= view.revisions.plan) {
+        expect(version, 'an old plan').to.equal(this.store.plan.version);
+      }
       this.store.last.forEach(({ revision, id, record }) => {
         if (revision > covered) return;
         expect(view.server(id)?.record, `${id} at ${covered}`).to.deep.equal(record);
@@ -202,6 +248,7 @@
   }
 }
 
+// Guards against plans that go back to an older version, or that revisions hide, among the rest.
 it('an entry VM knows all that its revisions cover, however the facts have come', () => {
   fc.assert(
     fc.property(fc.array(step, { minLength: 20, maxLength: 80 }), (steps) => {
