Bound the memory of answers under way together

Tests of our own with four forms (status line, field, body without length, chunks): 'a caller is answered in time and truly ...' passed before: idempotent and other requests get 504 at their route's time, the connection is closed, the next is served. 'many answers without end take little memory' failed before: 24 requests at two such servers took 212 MB beyond the start (bound 150 MB; a VM has 350 MB in all), since each answer could hold 32 MB. Callers would have seen the process end with all its requests. Now all answers under way share 64 MB; the largest is dropped when they hold more, which ends that try as one without an answer. Event 508 tells of each such try, with its server and reason: until now the reason was in no line. Ruled out: a lower bound for each answer: downloads may be large, and many small ones add up all the same.

--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -310,6 +310,10 @@
     load.ended(runEndOf(result), nowMs);
     if (end.type === 'answered') this.#learn(exchange, attempt, end.answer, result, nowMs);
     if (end.type === 'unreachable') this.#options.pool.rest(record.id, end.reason);
+    if (end.type === 'lost') {
+      const request = exchange.fields.requestId;
+      this.#options.log('answerLost', { request, server: record.id, reason: end.reason });
+    }
     if (result.type === 'unreachable' || result.type === 'rejected') exchange.runs -= 1;
     if (!exchange.ended) this.#goOn(exchange, result, end);
     if (this.#waitlist.size > 0) this.tick();
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -65,6 +65,7 @@
   },
   serverReached: { id: 506, level: 'info', text: 'backend server can be reached again' },
   serverMisdirected: { id: 507, level: 'info', text: 'address has another backend server' },
+  answerLost: { id: 508, level: 'info', text: 'no whole answer to a request that was sent' },
   changeAccepted: { id: 601, level: 'info', text: 'change of settings accepted' },
   changeRefused: { id: 602, level: 'warn', text: 'change of settings refused' },
 } as const satisfies Record<string, LogEvent>;
--- a/src/transport/pools.ts
+++ b/src/transport/pools.ts
@@ -4,6 +4,7 @@
 import type { BackendServerId, Endpoint } from '../state/index.js';
 import type { Clock } from './clocks.js';
 import type { Logger } from './logs.js';
+import { AnswerMemory } from './answermemories.js';
 import { Upstream } from './upstreams.js';
 
 /** Time for a connection within a region and beyond, in milliseconds: some round trips and a SYN. */
@@ -34,6 +35,8 @@
 
   readonly #pooled = new Map<BackendServerId, Pooled>();
 
+  readonly #memory = new AnswerMemory();
+
   readonly #trying = new Map<BackendServerId, NodeJS.Timeout>();
 
   constructor(options: PoolOptions) {
@@ -53,6 +56,7 @@
         !/close/i.test(String(headers.connection ?? '')) &&
         !dialect.readServer(status, headers).otherServer,
       nowMs: () => clock().nowMs,
+      memory: this.#memory,
     });
     this.#pooled.set(record.id, { address: record.address, bornMs: record.bornMs, upstream });
     return upstream;
--- a/src/transport/tests/upstreams.test.ts
+++ b/src/transport/tests/upstreams.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { Endpoint } from '../../state/index.js';
+import { AnswerMemory } from '../answermemories.js';
 import { Upstream } from '../upstreams.js';
 
 it('a request that is cancelled is taken back: its connection is reset', async () => {
@@ -20,6 +21,7 @@
   });
   const { port } = server.address() as AddressInfo;
   const upstream = new Upstream(Endpoint.parse(`127.0.0.1:${port}`), {
+    memory: new AnswerMemory(),
     connectTimeoutMs: 1_000,
     onConnected: () => undefined,
     isClean: () => true,
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher } from 'undici';
 import type { Endpoint } from '../state/index.js';
 import type { HeaderFields } from '../protocol/index.js';
+import type { AnswerMemory, HeldAnswer } from './answermemories.js';
 
 /** A request to send, with its whole body. */
 export interface UpstreamRequest {
@@ -45,6 +46,8 @@
   /** Told whether an answer leaves its connection fit for another request. */
   readonly isClean: (answer: UpstreamAnswer) => boolean;
   readonly nowMs: () => number;
+  /** Shared by all upstreams. */
+  readonly memory: AnswerMemory;
 }
 
 /** Idle connections kept to one backend server. */
@@ -214,14 +217,14 @@
 }
 
 /** One request on a connection, as the client reports it. */
-class Call implements Dispatcher.DispatchHandler, UpstreamCall {
+class Call implements Dispatcher.DispatchHandler, UpstreamCall, HeldAnswer {
   readonly #connection: Connection;
 
   readonly #options: UpstreamOptions;
 
   readonly #onEnd: (end: UpstreamEnd, reusable: boolean) => void;
 
-  readonly #chunks: Buffer[] = [];
+  #chunks: Buffer[] = [];
 
   #bytes = 0;
 
@@ -244,9 +247,14 @@
   cancel(): void {
     if (this.#ended) return;
     this.#ended = true;
+    this.#letGo();
     this.#connection.reset();
   }
 
+  drop(): void {
+    this.#end({ type: 'lost', reason: 'too much held in answers' }, false);
+  }
+
   onRequestStart(): void {}
 
   onResponseStart(
@@ -260,9 +268,11 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#ended) return;
     this.#bytes += chunk.length;
+    this.#chunks.push(chunk);
+    this.#options.memory.add(this, chunk.length);
     if (this.#bytes > MAX_ANSWER_BYTES) controller.abort(new Error('answer too large'));
-    else this.#chunks.push(chunk);
   }
 
   onResponseEnd(): void {
@@ -290,6 +300,12 @@
   #end(end: UpstreamEnd, reusable: boolean): void {
     if (this.#ended) return;
     this.#ended = true;
+    this.#letGo();
     this.#onEnd(end, reusable);
   }
+
+  #letGo(): void {
+    this.#options.memory.release(this);
+    this.#chunks = [];
+  }
 }
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -30,7 +30,12 @@
   /** Runs it and fails. */
   | 'failed'
   /** Runs it and says nothing. */
-  | 'silent';
+  | 'silent'
+  /** Bytes until the other end closes: in place of a status, in a field, in a body without a length, in chunks. */
+  | 'endlessStatus'
+  | 'endlessHead'
+  | 'endlessBody'
+  | 'endlessChunks';
 
 /** A request as it arrived. */
 export interface PlatformRun {
@@ -69,6 +74,14 @@
       return `HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n${empty}`;
     case 'failed':
       return `HTTP/1.1 500 Internal Server Error\r\n${signed}${empty}`;
+    case 'endlessStatus':
+      return 'HTTP/1.1 200 ';
+    case 'endlessHead':
+      return `HTTP/1.1 200 OK\r\n${signed}Filler: `;
+    case 'endlessBody':
+      return `HTTP/1.1 200 OK\r\n${signed}\r\n`;
+    case 'endlessChunks':
+      return `HTTP/1.1 200 OK\r\n${signed}Transfer-Encoding: chunked\r\n\r\n`;
     case 'lost':
     case 'silent':
       return '';
@@ -77,6 +90,22 @@
   }
 }
 
+const FILLER = Buffer.alloc(65_536, 'x');
+
+/** What an endless answer repeats. */
+const ENDLESS: Readonly<Partial<Record<PlatformAnswer, Buffer>>> = {
+  endlessStatus: FILLER,
+  endlessHead: FILLER,
+  endlessBody: FILLER,
+  endlessChunks: Buffer.concat([Buffer.from('10000\r\n'), FILLER, Buffer.from('\r\n')]),
+};
+
+/** Repeats bytes for as long as the other end takes them. */
+function pour(socket: Socket, bytes: Buffer): void {
+  while (!socket.destroyed && socket.write(bytes));
+  if (!socket.destroyed) socket.once('drain', () => pour(socket, bytes));
+}
+
 const CLOSING = new Set<PlatformAnswer>(['lost', 'truncated', 'unframed', 'unframedCut']);
 
 export class PlatformServerStandIn {
@@ -97,6 +126,11 @@
 
   readonly #server: Server = net.createServer((socket) => this.#accept(socket));
 
+  /** Connections that are open. */
+  get open(): number {
+    return this.#sockets.size;
+  }
+
   start(): Promise<string> {
     return new Promise((resolve) => {
       this.#server.listen(0, '127.0.0.1', () => {
@@ -150,6 +184,8 @@
     if (socket.destroyed) return;
     socket.write(answerOf(answer, requestId));
     if (CLOSING.has(answer)) socket.end();
+    const endless = ENDLESS[answer];
+    if (endless !== undefined) pour(socket, endless);
     // Comes late, where the answer to the next request is expected.
     if (answer === 'doubled') {
       socket.once('data', () => socket.write(answerOf('doubled', requestId)));
