Answer a request whose body does not end at its route's time

What callers saw: no answer at all, for as long as the connection lasted, to a request whose body stopped half way: the route's time was counted only once a body was whole. Now the reading of a body ends at the earlier of the caller's and the route's time: 503, not run, and the connection closes, since what is left of the body would be taken for a next request. The reading moves from the carrier to bodies.ts.

--- a/src/transport/bodies.ts
+++ b/src/transport/bodies.ts
@@ -6,6 +6,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Fingerprint } from '../state/index.js';
+import { pause } from './clocks.js';
 
 /** Bodies up to this size are kept whole, in bytes. */
 export const KEEP_BYTES = 65_536;
@@ -58,6 +59,34 @@
   });
 }
 
+/** How the reading of a whole body ended. */
+export type WholeBody =
+  /** @property body - undefined for a request without one. */
+  | { readonly type: 'whole'; readonly body: Buffer | undefined }
+  | { readonly type: 'too_large' }
+  /** The sender is gone. */
+  | { readonly type: 'left' }
+  /** It was not there in time. */
+  | { readonly type: 'late' };
+
+/** Reads the whole body of a request. */
+export async function readWhole(
+  req: IncomingMessage,
+  maxBytes: number,
+  leftMs: number,
+): Promise<WholeBody> {
+  const { 'content-length': length, 'transfer-encoding': coding } = req.headers;
+  if (length === undefined && coding === undefined) return { type: 'whole', body: undefined };
+  if (Number(length ?? 0) > maxBytes) return { type: 'too_large' };
+  const timer = new AbortController();
+  const late = pause(leftMs, timer.signal).then(() => 'late' as const);
+  const read = await Promise.race([readHead(req, maxBytes), late]);
+  timer.abort();
+  if (read === 'late') return { type: 'late' };
+  if (read.failed) return { type: 'left' };
+  return read.ended ? { type: 'whole', body: read.head } : { type: 'too_large' };
+}
+
 /** A stream of a head and what follows it. Fails when that fails. */
 export function joined(head: Buffer, rest: Readable): Readable {
   const out = new PassThrough();
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -14,7 +14,7 @@
 import { asUnknown, notRun, unknown } from '../state/index.js';
 import type { Failure, NotRunCode } from '../state/index.js';
 import { Admissions } from './admissions.js';
-import { readHead } from './bodies.js';
+import { readWhole } from './bodies.js';
 import { writeAnswer, writeFailure } from './callerreplies.js';
 import type { Clock } from './clocks.js';
 import { isOwnFailure, judge, routeOf, runEndOf } from './exchanges.js';
@@ -109,8 +109,14 @@
       return;
     }
     this.#options.budget.requested(service, arrivedMs);
-    const body = await this.#readBody(req, res, plan.limits.maxBodyBytes);
-    if (body === 'failed') return;
+    const read = await readWhole(req, plan.limits.maxBodyBytes, leftMs);
+    if (read.type !== 'whole') {
+      // What is left of the body would be taken for the next request.
+      if (read.type !== 'left') res.setHeader('connection', 'close');
+      if (read.type === 'too_large') this.#fail(res, notRun('too_large'));
+      if (read.type === 'late') refuse('deadline', { leftMs });
+      return;
+    }
     const admission = await this.#admissions.admit(req, route.priority);
     if (admission.type !== 'admitted') {
       const code = admission.type === 'left' ? 'cancelled' : 'overloaded';
@@ -125,7 +131,7 @@
       refuse('overloaded', { unreadMs: Math.round(unreadMs) });
       return;
     }
-    this.#begin({ req, res, fields, route, service, body, arrivedMs, unreadMs });
+    this.#begin({ req, res, fields, route, service, body: read.body, arrivedMs, unreadMs });
   }
 
   /** Offers room to those that wait; again after a while as long as there are any. */
@@ -144,26 +150,6 @@
     this.#timer = setTimeout(() => this.tick(), TICK_MS);
   }
 
-  async #readBody(
-    req: IncomingMessage,
-    res: ServerResponse,
-    maxBytes: number,
-  ): Promise<Buffer | undefined | 'failed'> {
-    const { headers } = req;
-    if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
-      return undefined;
-    }
-    if (Number(headers['content-length'] ?? 0) > maxBytes) {
-      this.#fail(res, notRun('too_large'));
-      return 'failed';
-    }
-    const { head, ended, failed } = await readHead(req, maxBytes);
-    if (failed) return 'failed';
-    if (ended) return head;
-    this.#fail(res, notRun('too_large'));
-    return 'failed';
-  }
-
   #begin(
     start: Pick<
       Exchange,
