List what watches have missed instead of watching from where they stood

A kind that may have missed a change is listed, and the ledger counts only revisions that a watch told of and lists. Lists now log which evacuations they change; until now only watches did. Tests: the ledger's five, the property with watches that say nothing; both tests of silent connections pass.

--- a/src/coordination/fleetviews.ts
+++ b/src/coordination/fleetviews.ts
@@ -243,12 +243,15 @@
     return true;
   }
 
-  replaceEvacuations(domains: readonly FailureDomainId[], nowMs: number): void {
+  /** Takes a complete list. @returns the failure domains for which it changes something. */
+  replaceEvacuations(
+    domains: readonly FailureDomainId[],
+    nowMs: number,
+  ): readonly FailureDomainId[] {
     const listed = new Set(domains);
-    [...this.#evacuated]
-      .filter((domain) => !listed.has(domain))
-      .forEach((domain) => this.setEvacuated(domain, false, nowMs));
-    listed.forEach((domain) => this.setEvacuated(domain, true, nowMs));
+    return [...new Set([...this.#evacuated, ...listed])].filter((domain) =>
+      this.setEvacuated(domain, listed.has(domain), nowMs),
+    );
   }
 
   /** Backend servers of a service to which new work may be sent. */
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -76,8 +76,8 @@
 
   readonly #ledger = new RevisionLedger();
 
-  /** Kinds that are to ask at once for what they may have missed, instead of waiting. */
-  readonly #overdue = new Set<FactKind>();
+  /** Kinds that are to be listed, since their watch may have missed a change. */
+  readonly #unsure = new Set<FactKind>();
 
   /** Ends the pause before the next question for the store's revision. */
   #checkSoon = new AbortController();
@@ -132,9 +132,8 @@
     }
   }
 
-  /** Ends the waiting of a watch that misses what others have learnt; it asks anew, and at once. */
+  /** Ends the waiting of a watch that misses what others have learnt; it asks anew. */
   renew(kind: FactKind): void {
-    this.#overdue.add(kind);
     this.#waiting.get(kind)?.call.abort();
   }
 
@@ -153,19 +152,22 @@
       this.#note('revision', revision.isErr() ? revision.error : undefined, calledMs);
       if (revision.isOk() && this.#ledger.missing(revision.value).length > 0) {
         await pause(ARRIVING_MS, this.#ended.signal);
-        this.#renewMissing(revision.value, calledMs);
+        this.#listMissing(revision.value, calledMs);
       }
     }
   }
 
-  /** Renews watches that were waiting when the store was asked and have not told of all changes. */
-  #renewMissing(revision: number, askedMs: number): void {
+  /** Lists kinds whose watches were waiting when the store was asked and have not told of all changes. */
+  #listMissing(revision: number, askedMs: number): void {
     const kinds = this.#ledger
       .missing(revision)
       .filter((kind) => (this.#waiting.get(kind)?.sinceMs ?? Infinity) < askedMs);
     if (kinds.length === 0) return;
     this.#options.log('changesMissed', { kinds, revision });
-    kinds.forEach((kind) => this.renew(kind));
+    kinds.forEach((kind) => {
+      this.#unsure.add(kind);
+      this.renew(kind);
+    });
   }
 
   async #follow(kind: FactKind): Promise<void> {
@@ -176,6 +178,7 @@
         await this.#untilAssigned();
         known = this.#options.view.revisions[kind];
       }
+      if (this.#unsure.delete(kind)) known = undefined;
       const batch: Awaited<ReturnType<FactStore['list']>> =
         known === undefined ? await this.#list(kind) : await this.#watch(kind, known);
       if (batch.isOk()) {
@@ -203,7 +206,7 @@
     const batch = await this.#options.store.list(kind);
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) {
-      this.#ledger.answered(kind, batch.value.revision, []);
+      this.#ledger.listed(kind, batch.value.revision);
       this.#takeList(kind, batch.value, calledMs);
     }
     return batch;
@@ -211,9 +214,7 @@
 
   async #watch(kind: FactKind, since: number): ReturnType<FactStore['list']> {
     const call = new AbortController();
-    const holdMs = this.#overdue.delete(kind)
-      ? 0
-      : Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
+    const holdMs = Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
     const calledMs = this.#now();
     this.#waiting.set(kind, { call, sinceMs: calledMs });
     const batch = await this.#options.store.watch(kind, since, holdMs, call.signal);
@@ -221,7 +222,7 @@
     if (call.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) {
-      this.#ledger.answered(kind, batch.value.revision, batch.value.changes);
+      this.#ledger.told(batch.value.changes);
       this.#takeChanges(kind, batch.value, calledMs);
     }
     return batch;
@@ -241,7 +242,15 @@
       view.replaceServers(records, nowMs, this.#goneAtMs(nowMs));
       before.filter((id) => view.server(id) === undefined).forEach((id) => this.#gone(id, batch));
     }
-    if (kind === 'evacuations') view.replaceEvacuations(domains, nowMs);
+    if (kind === 'evacuations') {
+      view.replaceEvacuations(domains, nowMs).forEach((domain) => {
+        log('evacuationChanged', {
+          domain,
+          active: view.evacuated(domain),
+          revision: batch.revision,
+        });
+      });
+    }
     batch.facts.forEach((fact) => {
       if (fact.type === 'plan' || fact.type === 'unreadable') this.#take(fact, batch, calledMs);
     });
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -36,7 +36,7 @@
   factsFromPeer: { id: 215, level: 'info', text: 'newer facts taken from another entry VM' },
   settingsReloaded: { id: 216, level: 'info', text: 'settings file read again' },
   planOutdated: { id: 217, level: 'warn', text: 'plan older than the one in force, not taken' },
-  changesMissed: { id: 219, level: 'warn', text: 'watch has missed changes, asking anew' },
+  changesMissed: { id: 219, level: 'info', text: 'no watch told of a change, listing anew' },
   factsBehind: { id: 218, level: 'info', text: 'another entry VM has newer facts' },
   watchEnded: { id: 205, level: 'info', text: 'watch of the platform ended, others have it' },
   membersChanged: { id: 301, level: 'info', text: 'live entry VMs changed' },
