--- a/src/coordination/tests/fleetviews.test.ts
+++ b/src/coordination/tests/fleetviews.test.ts
@@ -1,6 +1,6 @@
 /** Facts: versions, incarnations, removals, evacuations. */
 import { expect } from 'chai';
-import type { BackendServerId, FailureDomainId } from '../../state/index.js';
+import type { BackendServerId, FailureDomainId, ServiceName } from '../../state/index.js';
 import { FleetView } from '../fleetviews.js';
 import { SERVICE, planOf, routeOf, serverOf, viewOf } from './plans.js';
 
@@ -114,3 +114,26 @@
   expect(view.mayUse(S1)).to.equal(true);
   expect(view.merge(other.snapshot(), 20).kinds).to.deep.equal([]);
 });
+
+// Guards against a split whose parts are off their weights when several entry VMs share few requests.
+it('the parts of a split get their shares over several entry VMs, also after a change of the weights', () => {
+  const weights = [
+    [90, 10],
+    [50, 50],
+    [20, 80],
+  ] as const;
+  const views = Array.from({ length: 10 }, () => new FleetView());
+  weights.forEach(([first, second], i) => {
+    const targets = [
+      { service: SERVICE, weight: first },
+      { service: 'other' as ServiceName, weight: second },
+    ];
+    const route = routeOf({ targets });
+    views.forEach((view) => view.setPlan(planOf(i + 1, [route])));
+    const chosen = views.flatMap((view) =>
+      Array.from({ length: 20 }, () => view.nextService(route)),
+    );
+    const share = chosen.filter((service) => service === SERVICE).length / chosen.length;
+    expect(share).to.be.closeTo(first / 100, 0.1);
+  });
+});
--- a/src/coordination/tests/placers.test.ts
+++ b/src/coordination/tests/placers.test.ts
@@ -160,3 +160,21 @@
   // The server bears 2 a second, times 1.5, plus the slack; half of that is this entry VM's part.
   expect(sent.length).to.be.greaterThan(0).and.at.most(3);
 });
+
+// Guards against an added route that is refused, since no run of it was seen, where others are served.
+it('a route that was just added is served as often as the others while servers are busy', () => {
+  const placer = placerOf(viewOf(FOUR));
+  const known = routeOf();
+  const learnt = placed(placer, 'key');
+  Array.from({ length: 50 }, (_, i) => placer.learn(known, learnt, 300, 500, i));
+  const added = routeOf({ name: 'added', pathPrefix: '/added/' });
+  const served = (route: typeof known): number =>
+    KEYS.filter((key) => placer.place(placeOf(key, { route }), 100).type === 'place').length;
+  const both = [0, 1, 2, 3, 4].map((busy) => {
+    if (busy > 0) FOUR.forEach(({ id }) => placer.load(id).sent());
+    return [served(known), served(added)] as const;
+  });
+  both.forEach(([before, after]) => expect(after).to.be.at.least(before / 4));
+  expect(both[0]).to.deep.equal([KEYS.length, KEYS.length]);
+  expect(both[3]?.[0]).to.be.greaterThan(0);
+});
