--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -23,6 +23,8 @@
   refuse: number | undefined;
   /** Takes calls and never answers. */
   silent: boolean;
+  /** Tells watches of no change, and claims at their end that there was none; lists are true. */
+  deaf: boolean;
 }
 
 const PREFIX = '/lovagesail/objects/';
@@ -39,7 +41,7 @@
 }
 
 export class FactStoreStandIn {
-  readonly faults: StoreFaults = { refuse: undefined, silent: false };
+  readonly faults: StoreFaults = { refuse: undefined, silent: false, deaf: false };
 
   /** Calls by method and kind, in their order. */
   readonly calls: string[] = [];
@@ -153,8 +155,9 @@
         (change) => change.kind === kind && change.object.Metadata.Revision > since,
       );
       const leftMs = end - performance.now();
-      if (changes.length > 0 || leftMs <= 0) {
-        const events = changes.map(({ object, deleted }) => ({ Object: object, Deleted: deleted }));
+      const told = this.faults.deaf ? [] : changes;
+      if (told.length > 0 || leftMs <= 0) {
+        const events = told.map(({ object, deleted }) => ({ Object: object, Deleted: deleted }));
         send(res, 200, { events, CurrentRev: this.#revision });
         return;
       }
