Add a fault soak over real processes

Disturbances come at random times, so that they overlap. Callers keep their connections until the process is gone.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -67,14 +67,14 @@
   ...configs.base.typescript,
   { rules: RELAXED },
   {
-    files: ['**/tests/**', 'bench/**', 'standins/**'],
+    files: ['**/tests/**', 'bench/**', 'soak/**', 'standins/**'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       '@typescript-eslint/no-unused-expressions': 'off',
     },
   },
   {
-    files: ['src/bin/**', 'standins/bin/**', 'bench/**'],
+    files: ['src/bin/**', 'standins/bin/**', 'bench/**', 'soak/**'],
     rules: { 'n/no-process-exit': 'off', 'no-console': 'off' },
   },
   ...layerRules,
--- /dev/null
+++ b/soak/worlds.ts
@@ -0,0 +1,389 @@
+/** One run of the soak: entry VMs, a store, backend servers, callers, and what is done to them. */
+import { randomUUID } from 'node:crypto';
+import { mkdtempSync } from 'node:fs';
+import http from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { FactStoreStandIn } from '../standins/factstores.js';
+import type { StoreFaults } from '../standins/factstores.js';
+import { PlatformServerStandIn } from '../standins/platformservers.js';
+import type { PlatformAnswer } from '../standins/platformservers.js';
+import { check } from './checks.js';
+import type { Attempt, PlanChange, Probe } from './checks.js';
+import { SoakNode } from './nodes.js';
+import type { Disturbance } from './nodes.js';
+import type { Random } from './randoms.js';
+
+const REGIONS = { a1: 'a', a2: 'a', b1: 'b' } as const;
+const DOMAINS = Object.keys(REGIONS);
+const SERVERS_PER_DOMAIN = 2;
+const HOST = 'shop.example';
+const BODY = 'the whole answer';
+const UNAVAILABLE = 503;
+
+/** Time of a run at a backend server, in milliseconds. */
+const WORK_MS = 30;
+
+/** Time between two requests of the callers, and between two probes of one entry VM, in milliseconds. */
+const REQUEST_MS = 20;
+const PROBE_MS = 300;
+
+/** Time in which nothing is done at the start and at the end, in milliseconds. */
+const START_MS = 4_000;
+const CALM_MS = 6_000;
+
+/** Longest time that a disturbance lasts, in milliseconds. */
+const LONGEST_MS = 4_000;
+
+/** Time for which the store tells watches nothing before it forgets its history, in milliseconds. */
+const DEAF_MS = 1_000;
+
+export interface SoakOptions {
+  readonly random: Random;
+  /** Entry VMs, spread over the failure domains. */
+  readonly nodes: number;
+  /** Time in which disturbances begin, in milliseconds. */
+  readonly lengthMs: number;
+  /** Disturbances that begin in that time. */
+  readonly disturbances: number;
+}
+
+export interface SoakResult {
+  readonly faults: readonly string[];
+  readonly requests: number;
+  readonly served: number;
+  readonly done: readonly string[];
+  /** Where the processes' logs are. */
+  readonly directory: string;
+}
+
+interface KnownServer {
+  readonly id: string;
+  readonly domain: string;
+  readonly standIn: PlatformServerStandIn;
+  address: string;
+}
+
+type Action = () => Promise<void> | void;
+
+export class SoakWorld {
+  readonly #options: SoakOptions;
+
+  readonly #startedMs = performance.now();
+
+  readonly #directory = mkdtempSync(join(tmpdir(), 'lovagesail-soak-'));
+
+  readonly #store = new FactStoreStandIn();
+
+  readonly #storeDisturbances: Disturbance[] = [];
+
+  /** Faults of the store that are under way; they may overlap. */
+  readonly #storeFaults: (keyof StoreFaults)[] = [];
+
+  readonly #nodes: SoakNode[] = [];
+
+  readonly #servers: KnownServer[] = [];
+
+  readonly #standIns: PlatformServerStandIn[] = [];
+
+  readonly #attempts: Attempt[] = [];
+
+  readonly #probes: Probe[] = [];
+
+  readonly #changes: PlanChange[] = [];
+
+  readonly #faults: string[] = [];
+
+  readonly #done: string[] = [];
+
+  #open = new Set<Promise<unknown>>();
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<SoakResult> {
+    await this.#start();
+    await pause(START_MS);
+    const timers = [
+      setInterval(() => this.#track(this.#request()), REQUEST_MS),
+      setInterval(() => this.#nodes.forEach((node) => this.#track(this.#probe(node))), PROBE_MS),
+    ];
+    await this.#disturb();
+    const calmMs = this.#now();
+    await pause(CALM_MS);
+    timers.forEach((timer) => clearInterval(timer));
+    await Promise.all(this.#open);
+    await Promise.all(this.#nodes.map((node) => node.stop()));
+    this.#standIns.forEach((standIn) => standIn.stop());
+    this.#store.stop();
+    const runs = new Map<string, number>();
+    this.#standIns
+      .flatMap((standIn) => standIn.runs)
+      .filter(({ answer }) => answer !== 'rejected')
+      .forEach(({ requestId }) => runs.set(requestId, (runs.get(requestId) ?? 0) + 1));
+    const broken = check({
+      attempts: this.#attempts,
+      probes: this.#probes,
+      changes: this.#changes,
+      storeDisturbances: this.#storeDisturbances,
+      runs,
+      calmMs,
+    });
+    return {
+      faults: [...this.#faults, ...broken],
+      requests: this.#attempts.length,
+      served: this.#attempts.filter(({ status }) => status === 200).length,
+      done: this.#done,
+      directory: this.#directory,
+    };
+  }
+
+  #now(): number {
+    return performance.now() - this.#startedMs;
+  }
+
+  async #start(): Promise<void> {
+    const store = await this.#store.start();
+    this.#changePlan();
+    for (const domain of DOMAINS) {
+      for (let i = 0; i < SERVERS_PER_DOMAIN; i += 1) await this.#addServer(domain);
+    }
+    const network = this.#options.random(200) + 20;
+    for (let i = 0; i < this.#options.nodes; i += 1) {
+      const node = new SoakNode({
+        id: `vm-${i}`,
+        host: `127.${network}.${process.pid & 255}.${i + 1}`,
+        failureDomain: DOMAINS[i % DOMAINS.length] as string,
+        regions: REGIONS,
+        directory: this.#directory,
+        store,
+        nowMs: () => this.#now(),
+        onFault: (text) => this.#faults.push(text),
+      });
+      this.#nodes.push(node);
+      await node.start();
+    }
+  }
+
+  async #addServer(domain: string): Promise<void> {
+    const standIn = new PlatformServerStandIn();
+    standIn.workMs = WORK_MS;
+    this.#standIns.push(standIn);
+    const id = `s-${this.#standIns.length}`;
+    const server = { id, domain, standIn, address: await standIn.start() };
+    this.#servers.push(server);
+    this.#list(server, 'ready', 1);
+  }
+
+  #list({ id, domain, address }: KnownServer, State: string, Sequence: number): void {
+    this.#store.put('servers', id, {
+      Service: 'orders',
+      Address: address,
+      Zone: domain,
+      Capacity: 8,
+      State,
+      ColdRemainingS: 0,
+      Sequence,
+      born: 1_771_085_769_493,
+    });
+  }
+
+  /** Puts the next version of the plan into force: its own route replaces that of the one before. */
+  #changePlan(): void {
+    const version = (this.#changes.at(-1)?.version ?? 0) + 1;
+    const route = (PathPrefix: string, RouteType: string): unknown => ({
+      ResourceKind: 'Routes',
+      Metadata: { Name: PathPrefix },
+      Spec: {
+        Host: HOST,
+        PathPrefix,
+        RouteType,
+        TimeoutS: 2,
+        TargetLatencyS: 0.3,
+        Priority: 0,
+        Service: 'orders',
+        MaxAttempts: 2,
+        SessionAffinity: true,
+        AllowedRegions: [],
+      },
+    });
+    this.#store.put('config', 'main', {
+      Version: version.toString(16).padStart(8, '0'),
+      Resources: [
+        route('/prices/', 'idempotent'),
+        route('/deposits/', 'non_idempotent'),
+        route(`/plan-${version}/`, 'idempotent'),
+        {
+          ResourceKind: 'Services',
+          Metadata: { Name: 'orders' },
+          Spec: { HealthCheck: '/h', MaxConnections: 360, ColdStartS: 0.2, WarmupPerS: 100 },
+        },
+        {
+          ResourceKind: 'Limits',
+          Metadata: {},
+          Spec: {
+            MaxHeaderBytes: 16_384,
+            MaxBodyBytes: 100_000,
+            HeaderTimeoutS: 3,
+            IdleTimeoutS: 15,
+          },
+        },
+      ],
+    });
+    this.#changes.push({ version, atMs: this.#now() });
+  }
+
+  #track(work: Promise<unknown>): void {
+    this.#open.add(work);
+    work.finally(() => this.#open.delete(work));
+  }
+
+  async #request(): Promise<void> {
+    const { random } = this.#options;
+    const node = this.#nodes[random(this.#nodes.length)] as SoakNode;
+    const idempotent = random(10) < 6;
+    const key = random(40);
+    const path = idempotent ? `/prices/${key}` : `/deposits/${key}`;
+    this.#attempts.push(await this.#send(node, path, idempotent, String(key)));
+  }
+
+  async #probe(node: SoakNode): Promise<void> {
+    const newest = this.#changes.at(-1)?.version ?? 0;
+    const version = newest - this.#options.random(2);
+    if (version < 1) return;
+    const attempt = await this.#send(node, `/plan-${version}/x`, true, 'probe');
+    this.#probes.push({ ...attempt, version });
+  }
+
+  #send(node: SoakNode, path: string, idempotent: boolean, key: string): Promise<Attempt> {
+    const id = randomUUID();
+    const sentMs = this.#now();
+    const { incarnation } = node;
+    return new Promise((resolve) => {
+      const end = (status: number | undefined, whole: boolean): void =>
+        resolve({ id, node, incarnation, idempotent, sentMs, endedMs: this.#now(), status, whole });
+      const req = http.request(
+        {
+          host: node.host,
+          port: node.port,
+          path,
+          method: idempotent ? 'GET' : 'POST',
+          agent: node.agent,
+          timeout: 3_000,
+          headers: {
+            host: HOST,
+            'request-id': id,
+            'affinity-key': key,
+            'deadline-ms': '2500',
+            ...(idempotent ? {} : { 'content-length': 9 }),
+          },
+        },
+        (res) => {
+          const chunks: Buffer[] = [];
+          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          res.on('error', () => end(undefined, false));
+          res.on('end', () => {
+            const own = res.headers['request-id'] === id;
+            const signed = res.headers['response-signature'] !== undefined;
+            end(res.statusCode, own && signed && Buffer.concat(chunks).toString() === BODY);
+          });
+        },
+      );
+      req.on('timeout', () => req.destroy());
+      req.on('error', () => end(undefined, false));
+      req.end(idempotent ? undefined : 'a deposit');
+    });
+  }
+
+  /** Begins disturbances at random times, so that they come in series and overlap. */
+  async #disturb(): Promise<void> {
+    const { random, lengthMs, disturbances } = this.#options;
+    const times = Array.from({ length: disturbances }, () => random(lengthMs)).sort(
+      (a, b) => a - b,
+    );
+    const fromMs = this.#now();
+    const under: Promise<void>[] = [];
+    for (const atMs of times) {
+      await pause(Math.max(0, fromMs + atMs - this.#now()));
+      const [name, act] = this.#next();
+      this.#done.push(`${Math.round(this.#now())} ms ${name}`);
+      under.push(Promise.resolve(act()));
+    }
+    await Promise.all(under);
+  }
+
+  #next(): readonly [string, Action] {
+    const { random } = this.#options;
+    const node = this.#nodes[random(this.#nodes.length)] as SoakNode;
+    const server = this.#servers[random(this.#servers.length)] as KnownServer;
+    const forMs = 300 + random(LONGEST_MS);
+    const some = this.#nodes.filter(() => random(2) === 0);
+    const choices: readonly (readonly [string, Action])[] = [
+      ['change of the plan', () => this.#changePlan()],
+      ['change of the plan', () => this.#changePlan()],
+      ['connections to the store silent, some', () => some.forEach((each) => each.silence())],
+      ['connections to the store silent, all', () => this.#nodes.forEach((each) => each.silence())],
+      [`${node.id} killed`, () => node.restart('SIGKILL')],
+      [`${node.id} stopped`, () => node.restart('SIGTERM')],
+      [`${node.id} paused ${forMs} ms`, () => SoakWorld.#pauseNode(node, forMs)],
+      [`${node.id} reads its settings`, () => node.signal('SIGHUP')],
+      [`store refuses ${forMs} ms`, () => this.#storeFault('refuse', forMs)],
+      [`store silent ${forMs} ms`, () => this.#storeFault('silent', forMs)],
+      ['store forgets', () => this.#forget()],
+      [`${server.id} leaves`, () => this.#replace(server)],
+      [`${server.id} loses answers`, () => SoakWorld.#spoil(server, 'lost')],
+      [`${server.id} cuts answers`, () => SoakWorld.#spoil(server, 'truncated')],
+      [`${server.id} answers without end`, () => SoakWorld.#spoil(server, 'endlessBody')],
+      [`${server.id} rejects`, () => SoakWorld.#spoil(server, 'rejected')],
+    ];
+    return choices[random(choices.length)] as (typeof choices)[number];
+  }
+
+  static async #pauseNode(node: SoakNode, forMs: number): Promise<void> {
+    if (!node.running) return;
+    const end = node.disturb();
+    node.signal('SIGSTOP');
+    await pause(forMs);
+    node.signal('SIGCONT');
+    end();
+  }
+
+  static #spoil({ standIn }: KnownServer, answer: PlatformAnswer): void {
+    standIn.answers.push(...Array<PlatformAnswer>(5).fill(answer));
+  }
+
+  async #storeFault(fault: keyof StoreFaults, forMs: number): Promise<void> {
+    const disturbance = { fromMs: this.#now(), toMs: Infinity, planned: false };
+    this.#storeDisturbances.push(disturbance);
+    this.#storeFaults.push(fault);
+    this.#setStoreFaults();
+    await pause(forMs);
+    this.#storeFaults.splice(this.#storeFaults.indexOf(fault), 1);
+    this.#setStoreFaults();
+    disturbance.toMs = this.#now();
+  }
+
+  #setStoreFaults(): void {
+    const has = (fault: keyof StoreFaults): boolean => this.#storeFaults.includes(fault);
+    const refuse = has('refuse') ? UNAVAILABLE : undefined;
+    Object.assign(this.#store.faults, { refuse, silent: has('silent'), deaf: has('deaf') });
+  }
+
+  /** Tells watches nothing for a while, then drops the history. */
+  async #forget(): Promise<void> {
+    await this.#storeFault('deaf', DEAF_MS);
+    this.#store.forget();
+  }
+
+  /** Starts a server in place of one that drains and leaves. */
+  async #replace(server: KnownServer): Promise<void> {
+    await this.#addServer(server.domain);
+    this.#servers.splice(this.#servers.indexOf(server), 1);
+    this.#list(server, 'draining', 2);
+    await pause(LONGEST_MS);
+    this.#store.remove('servers', server.id);
+    server.standIn.stop();
+  }
+}
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -145,6 +145,10 @@
 
   async #watch(kind: string, since: number, waitMs: number, res: ServerResponse): Promise<void> {
     const end = performance.now() + waitMs;
+    const caller: { wake?: () => void } = {};
+    res.once('close', () => {
+      if (caller.wake !== undefined) this.#waiting.delete(caller.wake);
+    });
     for (;;) {
       const oldest = this.#changes[0]?.object.Metadata.Revision ?? this.#revision + 1;
       if (since < oldest - 1) {
@@ -162,8 +166,8 @@
         return;
       }
       await new Promise<void>((resolve) => {
+        caller.wake = resolve;
         this.#waiting.add(resolve);
-        res.once('close', () => this.#waiting.delete(resolve));
         setTimeout(resolve, leftMs);
       });
     }
