--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -7,6 +7,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { FactStoreStandIn } from '../standins/factstores.js';
 import type { StoreFaults } from '../standins/factstores.js';
+import { configOf, entryOf, route } from '../standins/platformobjects.js';
 import { PlatformServerStandIn } from '../standins/platformservers.js';
 import type { PlatformAnswer } from '../standins/platformservers.js';
 import { check } from './checks.js';
@@ -19,6 +20,11 @@
 const REGIONS = { a1: 'a', a2: 'a', b1: 'b' } as const;
 const DOMAINS = Object.keys(REGIONS);
 const SERVERS_PER_DOMAIN = 2;
+const SLOTS = 8;
+
+/** Timeout of the routes that only one version of the plan has, in seconds. */
+const TIMEOUT_S = 2;
+
 const HOST = 'shop.example';
 const BODY = 'the whole answer';
 const UNAVAILABLE = 503;
@@ -186,60 +192,15 @@
   }
 
   #list({ id, domain, address }: KnownServer, State: string, Sequence: number): void {
-    this.#store.put('servers', id, {
-      Service: 'orders',
-      Address: address,
-      Zone: domain,
-      Capacity: 8,
-      State,
-      ColdRemainingS: 0,
-      Sequence,
-      born: 1_771_085_769_493,
-    });
+    const entry = entryOf(address, { Zone: domain, Capacity: SLOTS, State, Sequence });
+    this.#store.put('servers', id, entry);
   }
 
   /** Puts the next version of the plan into force: its own route replaces that of the one before. */
   #changePlan(): void {
     const version = (this.#changes.at(-1)?.version ?? 0) + 1;
-    const route = (PathPrefix: string, RouteType: string): unknown => ({
-      ResourceKind: 'Routes',
-      Metadata: { Name: PathPrefix },
-      Spec: {
-        Host: HOST,
-        PathPrefix,
-        RouteType,
-        TimeoutS: 2,
-        TargetLatencyS: 0.3,
-        Priority: 0,
-        Service: 'orders',
-        MaxAttempts: 2,
-        SessionAffinity: true,
-        AllowedRegions: [],
-      },
-    });
-    this.#store.put('config', 'main', {
-      Version: version.toString(16).padStart(8, '0'),
-      Resources: [
-        route('/prices/', 'idempotent'),
-        route('/deposits/', 'non_idempotent'),
-        route(`/plan-${version}/`, 'idempotent'),
-        {
-          ResourceKind: 'Services',
-          Metadata: { Name: 'orders' },
-          Spec: { HealthCheck: '/h', MaxConnections: 360, ColdStartS: 0.2, WarmupPerS: 100 },
-        },
-        {
-          ResourceKind: 'Limits',
-          Metadata: {},
-          Spec: {
-            MaxHeaderBytes: 16_384,
-            MaxBodyBytes: 100_000,
-            HeaderTimeoutS: 3,
-            IdleTimeoutS: 15,
-          },
-        },
-      ],
-    });
+    const own = route(`/plan-${version}/`, 'idempotent', TIMEOUT_S);
+    this.#store.put('config', 'main', configOf(version, [own]));
     this.#changes.push({ version, atMs: this.#now() });
   }
 
