Keep answers under way in pages that are used again

With an answer in chunks of one byte the same 24 requests took 623 MB: a VM has 250 to 350 MB, its process would end with all its requests. Cause: the bound of 64 MB counted the bytes of a body, not the memory that they hold. Pieces were kept as they arrived, so a piece of one byte cost an object and its share of a read; and pieces of an answer that was dropped stayed until the collector ran through old memory, which it puts off until another 64 MB have been added: 64 + 64 + what was just read. Class of fault: a bound on the wrong quantity. Now bytes are copied into pages of 16 KB, at most 64 MB of them for all answers, which go back at once when an answer ends or is dropped. What is read is garbage from the start, so that it is collected young. Ruled out: a lower bound, which leaves both factors; a count of pieces, since an honest server may flush small ones.

--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -224,8 +224,6 @@
 
   readonly #onEnd: (end: UpstreamEnd, reusable: boolean) => void;
 
-  #chunks: Buffer[] = [];
-
   #bytes = 0;
 
   #status = 0;
@@ -247,7 +245,7 @@
   cancel(): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#letGo();
+    this.#options.memory.release(this);
     this.#connection.reset();
   }
 
@@ -270,8 +268,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#ended) return;
     this.#bytes += chunk.length;
-    this.#chunks.push(chunk);
-    this.#options.memory.add(this, chunk.length);
+    this.#options.memory.add(this, chunk);
     if (this.#bytes > MAX_ANSWER_BYTES) controller.abort(new Error('answer too large'));
   }
 
@@ -283,7 +280,7 @@
     const answer = {
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#chunks, this.#bytes),
+      body: this.#options.memory.take(this),
       framed:
         this.#headers['content-length'] !== undefined ||
         this.#headers['transfer-encoding'] !== undefined,
@@ -300,12 +297,7 @@
   #end(end: UpstreamEnd, reusable: boolean): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#letGo();
-    this.#onEnd(end, reusable);
-  }
-
-  #letGo(): void {
     this.#options.memory.release(this);
-    this.#chunks = [];
+    this.#onEnd(end, reusable);
   }
 }
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -31,11 +31,15 @@
   | 'failed'
   /** Runs it and says nothing. */
   | 'silent'
-  /** Bytes until the other end closes: in place of a status, in a field, in a body without a length, in chunks. */
+  /**
+   * Bytes until the other end closes: in place of a status, in a field, in a body without a length, in
+   * chunks, in chunks of one byte.
+   */
   | 'endlessStatus'
   | 'endlessHead'
   | 'endlessBody'
-  | 'endlessChunks';
+  | 'endlessChunks'
+  | 'endlessCrumbs';
 
 /** A request as it arrived. */
 export interface PlatformRun {
@@ -81,6 +85,7 @@
     case 'endlessBody':
       return `HTTP/1.1 200 OK\r\n${signed}\r\n`;
     case 'endlessChunks':
+    case 'endlessCrumbs':
       return `HTTP/1.1 200 OK\r\n${signed}Transfer-Encoding: chunked\r\n\r\n`;
     case 'lost':
     case 'silent':
@@ -98,6 +103,7 @@
   endlessHead: FILLER,
   endlessBody: FILLER,
   endlessChunks: Buffer.concat([Buffer.from('10000\r\n'), FILLER, Buffer.from('\r\n')]),
+  endlessCrumbs: Buffer.from('1\r\nx\r\n'.repeat(10_000)),
 };
 
 /** Repeats bytes for as long as the other end takes them. */
