Cut large answers at an entry when the deadline passes

Cause: only idempotent work is stopped at its deadline, since other work must not be cut short. That holds while it runs. An answer that has begun and is larger than what is kept for later sendings protects nothing any more. Now such an answer is cut when its request's time is over; the caller sees it end early. Idempotent requests and heads without end were right before. Ruled out: stopping all work at its deadline, which would lose small answers that later sendings of the same request are given.

--- a/src/transport/backends.ts
+++ b/src/transport/backends.ts
@@ -89,12 +89,15 @@
   /** Runs a request on a connection of its own. */
   run(spec: RunSpec, handlers: RunHandlers): RunHandle {
     const connection = this.#take(spec.idempotent);
+    const endsMs = this.#clock().nowMs + spec.leftMs;
+    let late: NodeJS.Timeout | undefined;
     let res: IncomingMessage | undefined;
     let body: Readable | undefined;
     let finished = false;
     const finish = (result: RunResult, answer?: Answer): void => {
       if (finished) return;
       finished = true;
+      clearTimeout(late);
       if (result.type === 'answered') this.#giveBack(connection);
       else connection.agent.destroy();
       handlers.onFinished(result, answer);
@@ -136,6 +139,13 @@
           finish({ type: 'truncated', relayed: false });
           return undefined;
         }
+        // Nothing is left to protect of work whose answer has begun and is too large to be kept.
+        if (!Buffer.isBuffer(answer.body)) {
+          late = setTimeout(() => {
+            sent.stop();
+            finish({ type: 'truncated', relayed: true }, answer);
+          }, endsMs - this.#clock().nowMs);
+        }
         drained(answer.body).then(({ whole }) => {
           finish(whole ? { type: 'answered' } : { type: 'truncated', relayed: true }, answer);
         });
--- a/standins/backends.ts
+++ b/standins/backends.ts
@@ -7,6 +7,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { FILLER, pour } from './pours.js';
 
 /** Faults that a test may switch. */
 export interface BackendFaults {
@@ -24,6 +25,8 @@
   truncate: boolean;
   /** Runs the request and cuts the connection before the answer. */
   loseAnswer: boolean;
+  /** Sends bytes until the other end closes, also at its health endpoint: in a field or in the body. */
+  endless: 'head' | 'body' | undefined;
 }
 
 /** One run, as the stand-in saw it. */
@@ -54,6 +57,7 @@
     crashOn: undefined,
     truncate: false,
     loseAnswer: false,
+    endless: undefined,
   };
 
   /** Runs that were started, in order. */
@@ -64,6 +68,9 @@
 
   crashes = 0;
 
+  /** Bytes of the longest answer without end. */
+  poured = 0;
+
   readonly #slots: number;
 
   readonly #queue: number;
@@ -84,6 +91,11 @@
     this.#queue = options.queue ?? DEFAULT_QUEUE;
   }
 
+  /** Connections that are open. */
+  get open(): number {
+    return this.#sockets.size;
+  }
+
   /** Resolves to its address. */
   listen(port = 0): Promise<string> {
     const server = createServer((req, res) => {
@@ -115,6 +127,7 @@
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this.#silent.has(req.socket)) return;
     if (req.url === '/health') {
+      if (this.#isEndless(req)) return;
       const state = this.faults.draining ? 'draining' : 'serving';
       res.setHeader('content-type', 'application/json');
       res.end(JSON.stringify({ state, running: this.#running, slots: this.#slots }));
@@ -169,6 +182,7 @@
       req.socket.destroy();
       return;
     }
+    if (this.#isEndless(req)) return;
     const text = `${req.method} ${req.url} ${body}`.padEnd(bytes, '.');
     res.writeHead(200, { 'content-type': 'text/plain', 'content-length': Buffer.byteLength(text) });
     if (!this.faults.truncate) {
@@ -179,6 +193,18 @@
     setImmediate(() => req.socket.destroy());
   }
 
+  /** Begins to send bytes without end, if that is switched on. */
+  #isEndless({ socket }: IncomingMessage): boolean {
+    const { endless } = this.faults;
+    if (endless === undefined) return false;
+    socket.write(`HTTP/1.1 200 OK\r\n${endless === 'head' ? 'filler: ' : '\r\n'}`);
+    pour(socket, FILLER);
+    socket.once('close', () => {
+      this.poured = Math.max(this.poured, socket.bytesWritten);
+    });
+    return true;
+  }
+
   /** Works until the time is up, or the caller has closed the connection. */
   #work(runMs: number, req: IncomingMessage): Promise<void> {
     return new Promise((resolve) => {
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -4,6 +4,7 @@
  */
 import net from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { FILLER, pour } from './pours.js';
 
 /** How one request is answered. */
 export type PlatformAnswer =
@@ -95,8 +96,6 @@
   }
 }
 
-const FILLER = Buffer.alloc(65_536, 'x');
-
 /** What an endless answer repeats. */
 const ENDLESS: Readonly<Partial<Record<PlatformAnswer, Buffer>>> = {
   endlessStatus: FILLER,
@@ -106,12 +105,6 @@
   endlessCrumbs: Buffer.from('1\r\nx\r\n'.repeat(10_000)),
 };
 
-/** Repeats bytes for as long as the other end takes them. */
-function pour(socket: Socket, bytes: Buffer): void {
-  while (!socket.destroyed && socket.write(bytes));
-  if (!socket.destroyed) socket.once('drain', () => pour(socket, bytes));
-}
-
 const CLOSING = new Set<PlatformAnswer>(['lost', 'truncated', 'unframed', 'unframedCut']);
 
 export class PlatformServerStandIn {
