Give up a probe that is answered without end

No caller's request was needed, servers are probed all the time. The cause is that of the answers under way: nothing bounded what is read of an answer that is no answer. Found by looking for the same cause elsewhere. Now a probe is given up after 64 KB; its server counts as unreachable, as it did before when the probe's time was over. Elsewhere: answers of the platform's store, of agents and of other entry VMs come from parties that are trusted not to send without end; each has a timeout of 0.5 to 3 s, watches excepted.

--- a/src/transport/backends.ts
+++ b/src/transport/backends.ts
@@ -30,6 +30,9 @@
 /** Time for an answer to a probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 500;
 
+/** Largest answer to a probe that is read, in bytes: health is told in a line. */
+const MAX_HEALTH_BYTES = 65_536;
+
 /** Keeps no connection: one that has gone silent must not make its server look dead. */
 const PROBE_AGENT = new http.Agent({ keepAlive: false });
 
@@ -157,13 +160,17 @@
   /** Asks the server on a new connection whether it is there and serving. */
   async health(): Promise<HealthState> {
     try {
-      const res = await got(`http://${this.#address}${HEALTH_PATH}`, {
+      const call = got(`http://${this.#address}${HEALTH_PATH}`, {
         agent: { http: PROBE_AGENT },
         retry: { limit: 0 },
         timeout: { request: PROBE_TIMEOUT_MS },
         throwHttpErrors: false,
         responseType: 'json',
       });
+      call.on('downloadProgress', ({ transferred }) => {
+        if (transferred > MAX_HEALTH_BYTES) call.cancel();
+      });
+      const res = await call;
       const health = Health.safeParse(res.body);
       return health.success ? health.data.state : 'serving';
     } catch {
--- a/src/transport/tests/endless.test.ts
+++ b/src/transport/tests/endless.test.ts
@@ -1,8 +1,11 @@
 /** Backend servers that send bytes without end. */
 import http from 'node:http';
 import { expect } from 'chai';
-import type { BackendStandIn } from '../../../standins/backends.js';
+import { BackendStandIn } from '../../../standins/backends.js';
 import { peakOf } from '../../../standins/memories.js';
+import { Endpoint } from '../../state/index.js';
+import { BackendPool } from '../backends.js';
+import { systemClock } from '../clocks.js';
 import { fleetOf, request, until } from './fleets.js';
 import type { FleetVm } from './fleets.js';
 
@@ -64,3 +67,19 @@
     await fleet.close();
   }
 });
+
+/** Most that a probe's connection may carry, in bytes: more than its buffers hold. */
+const MOST_PROBED_BYTES = 16_000_000;
+
+// Guards against probes that read answers without end into memory until their time is up.
+it('a probe that is answered without end is given up', async () => {
+  const server = new BackendStandIn();
+  const pool = new BackendPool(Endpoint.parse(await server.listen()), systemClock);
+  for (const endless of ['head', 'body'] as const) {
+    server.faults.endless = endless;
+    expect(await pool.health(), endless).to.equal('unreachable');
+    await until('the connection is closed', () => server.open === 0);
+    expect(server.poured, endless).to.be.below(MOST_PROBED_BYTES);
+  }
+  server.close();
+});
