--- a/src/transport/answermemories.ts
+++ b/src/transport/answermemories.ts
@@ -8,9 +8,7 @@
 const MAX_HELD_BYTES = 67_108_864;
 
 /** Size of a page, in bytes: most answers to callers fit into one, and a download into a few. */
-const PAGE_BYTES = 16_384;
-
-const MAX_PAGES = MAX_HELD_BYTES / PAGE_BYTES;
+export const PAGE_BYTES = 16_384;
 
 /** An answer under way. */
 export interface HeldAnswer {
@@ -29,9 +27,15 @@
   /** Pages that no answer holds. */
   readonly #free: Buffer[] = [];
 
-  /** Pages there are, held or free. */
+  /** Pages there are, held or free, and how many there may be. */
   #pages = 0;
 
+  readonly #maxPages: number;
+
+  constructor(maxBytes: number = MAX_HELD_BYTES) {
+    this.#maxPages = Math.floor(maxBytes / PAGE_BYTES);
+  }
+
   /** Copies more bytes of an answer. The largest answer is dropped when there is no room for them. */
   add(answer: HeldAnswer, bytes: Buffer): void {
     const held = this.#held.get(answer) ?? { pages: [], bytes: 0 };
@@ -67,7 +71,7 @@
   }
 
   #page(): Buffer {
-    if (this.#free.length === 0 && this.#pages >= MAX_PAGES) this.#dropLargest();
+    if (this.#free.length === 0 && this.#pages >= this.#maxPages) this.#dropLargest();
     const free = this.#free.pop();
     if (free !== undefined) return free;
     this.#pages += 1;
