Let the soak delay, reset and cut connections, and check times and memory

The relay between entry VMs and the store could only go silent. It now also delays bytes, resets connections and holds back one way, and a relay of its own stands before each backend server. Servers also answer in crumbs and with heads without end.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -10,6 +10,14 @@
 /** Time after which a plan that was seen may not give way to an older one, in milliseconds. */
 const ROLLBACK_MS = 250;
 
+/** Timeout of all routes, and the time after it in which a request must have its end, in milliseconds. */
+const ROUTE_TIMEOUT_MS = 2_500;
+const LATE_MS = 500;
+
+/** Requests that outlast their route's timeout and are late, from which on and above which share it counts. */
+const MIN_LATE = 8;
+const MAX_LATE_SHARE = 0.25;
+
 /** Share of the requests after all disturbances that must be served. */
 const RECOVERED = 0.25;
 
@@ -86,6 +94,17 @@
   });
 }
 
+/** Requests that outlast their route's timeout have their end soon after it. */
+function checkTimes(observed: Observed): string[] {
+  const long = observed.attempts.filter(
+    ({ node, sentMs, endedMs }) =>
+      endedMs - sentMs > ROUTE_TIMEOUT_MS && isInTouch(observed, node, sentMs, endedMs),
+  );
+  const late = long.filter(({ sentMs, endedMs }) => endedMs - sentMs > ROUTE_TIMEOUT_MS + LATE_MS);
+  if (late.length < MIN_LATE || late.length <= long.length * MAX_LATE_SHARE) return [];
+  return [`${late.length} of ${long.length} late at their timeout`];
+}
+
 function checkPlans(observed: Observed): string[] {
   const { probes, changes } = observed;
   return probes.flatMap(({ node, version, sentMs, endedMs, status }) => {
@@ -126,7 +145,7 @@
 
 /** @returns each promise that was broken. */
 export function check(observed: Observed): readonly string[] {
-  return [checkAttempts, checkStops, checkPlans, checkRollbacks, checkRecovery].flatMap((each) =>
-    each(observed),
+  return [checkAttempts, checkStops, checkTimes, checkPlans, checkRollbacks, checkRecovery].flatMap(
+    (each) => each(observed),
   );
 }
--- a/soak/nodes.ts
+++ b/soak/nodes.ts
@@ -1,12 +1,22 @@
 /** Entry VMs as separate processes, and what was done to each from outside. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { join } from 'node:path';
-import { SilencerStandIn } from '../standins/silencers.js';
+import { RelayStandIn } from '../standins/relays.js';
 
 const PROGRAM = 'target/lovagesail-node.js';
+
+/** As in deploy/system.toml. */
+const FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=2', '--single-threaded-gc'];
+
+/** Memory of the smallest VM that is served, in kilobytes. */
+const MEMORY_KB = 250_000;
+
+/** Time between two looks at a process's memory, in milliseconds. */
+const MEMORY_MS = 500;
+
 const PORTS = { caller: 8161, lookup: 8164, ready: 8167, peer: 7720, metrics: 9464 } as const;
 
 /** Time from SIGTERM to SIGKILL, in seconds. */
@@ -45,7 +55,8 @@
 
   readonly #options: SoakNodeOptions;
 
-  readonly #relay: SilencerStandIn;
+  /** The way to the store. */
+  readonly relay: RelayStandIn;
 
   #process: ChildProcess | undefined;
 
@@ -53,7 +64,7 @@
 
   constructor(options: SoakNodeOptions) {
     this.#options = options;
-    this.#relay = new SilencerStandIn(options.store);
+    this.relay = new RelayStandIn(options.store);
   }
 
   get id(): string {
@@ -74,7 +85,7 @@
 
   async start(): Promise<void> {
     const { id, host, failureDomain, regions } = this.#options;
-    const address = await this.#relay.start();
+    const address = await this.relay.start();
     const at = (port: number): string => `${host}:${port}`;
     const cfg = {
       id,
@@ -103,12 +114,6 @@
     };
   }
 
-  /** Makes the open connections to the store carry nothing more. */
-  silence(): void {
-    this.disturb()();
-    this.#relay.silence();
-  }
-
   signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     this.#process?.kill(name);
   }
@@ -147,11 +152,11 @@
       child.kill('SIGKILL');
       await gone;
     }
-    this.#relay.stop();
+    this.relay.stop();
   }
 
   #spawn(): void {
-    const args = [PROGRAM, '--config', this.#file('json')];
+    const args = [...FLAGS, PROGRAM, '--config', this.#file('json')];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     const lines: Buffer[] = [];
     [child.stdout, child.stderr].forEach((stream) =>
@@ -160,7 +165,9 @@
     this.incarnation += 1;
     this.#expected = false;
     this.#process = child;
+    const memory = setInterval(() => this.#checkMemory(child.pid), MEMORY_MS);
     child.once('exit', (code, name) => {
+      clearInterval(memory);
       writeFileSync(this.#file('log'), Buffer.concat(lines), { flag: 'a' });
       if (this.#process === child) this.#process = undefined;
       if (!this.#expected) {
@@ -170,7 +177,22 @@
     });
   }
 
+  #checkMemory(pid: number | undefined): void {
+    const peakKb = peakMemoryKb(pid);
+    if (peakKb > MEMORY_KB) this.#options.onFault(`${this.id} takes ${peakKb} KB of memory`);
+  }
+
   #file(ending: string): string {
     return join(this.#options.directory, `${this.id}.${ending}`);
   }
 }
+
+/** The most memory that a process has had in RAM; 0 when it has just ended. */
+function peakMemoryKb(pid: number | undefined): number {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    return Number(/^VmHWM:\s+(\d+)/m.exec(status)?.[1] ?? 0);
+  } catch {
+    return 0;
+  }
+}
--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -10,6 +10,8 @@
 import { configOf, entryOf, route } from '../standins/platformobjects.js';
 import { PlatformServerStandIn } from '../standins/platformservers.js';
 import type { PlatformAnswer } from '../standins/platformservers.js';
+import { RelayStandIn } from '../standins/relays.js';
+import type { Way } from '../standins/relays.js';
 import { check } from './checks.js';
 import type { Attempt, PlanChange, Probe } from './checks.js';
 import { SoakNode } from './nodes.js';
@@ -25,6 +27,10 @@
 /** Timeout of the routes that only one version of the plan has, in seconds. */
 const TIMEOUT_S = 2;
 
+/** Deadline that callers state, and time after which they close, in milliseconds. */
+const DEADLINE_MS = 2_500;
+const GIVE_UP_MS = 4_000;
+
 const HOST = 'shop.example';
 const BODY = 'the whole answer';
 const UNAVAILABLE = 503;
@@ -43,6 +49,9 @@
 /** Longest time that a disturbance lasts, in milliseconds. */
 const LONGEST_MS = 4_000;
 
+/** Longest delay of bytes on a connection, in milliseconds. */
+const LONGEST_DELAY_MS = 400;
+
 /** Time for which the store tells watches nothing before it forgets its history, in milliseconds. */
 const DEAF_MS = 1_000;
 
@@ -69,7 +78,9 @@
   readonly id: string;
   readonly domain: string;
   readonly standIn: PlatformServerStandIn;
-  address: string;
+  /** Between it and all entry VMs. */
+  readonly relay: RelayStandIn;
+  readonly address: string;
 }
 
 type Action = () => Promise<void> | void;
@@ -131,6 +142,7 @@
     await Promise.all(this.#open);
     await Promise.all(this.#nodes.map((node) => node.stop()));
     this.#standIns.forEach((standIn) => standIn.stop());
+    this.#servers.forEach(({ relay }) => relay.stop());
     this.#store.stop();
     const runs = new Map<string, number>();
     this.#standIns
@@ -186,7 +198,8 @@
     standIn.workMs = WORK_MS;
     this.#standIns.push(standIn);
     const id = `s-${this.#standIns.length}`;
-    const server = { id, domain, standIn, address: await standIn.start() };
+    const relay = new RelayStandIn(await standIn.start());
+    const server = { id, domain, standIn, relay, address: await relay.start() };
     this.#servers.push(server);
     this.#list(server, 'ready', 1);
   }
@@ -240,12 +253,12 @@
           path,
           method: idempotent ? 'GET' : 'POST',
           agent: node.agent,
-          timeout: 3_000,
+          timeout: GIVE_UP_MS,
           headers: {
             host: HOST,
             'request-id': id,
             'affinity-key': key,
-            'deadline-ms': '2500',
+            'deadline-ms': String(DEADLINE_MS),
             ...(idempotent ? {} : { 'content-length': 9 }),
           },
         },
@@ -288,12 +301,23 @@
     const node = this.#nodes[random(this.#nodes.length)] as SoakNode;
     const server = this.#servers[random(this.#servers.length)] as KnownServer;
     const forMs = 300 + random(LONGEST_MS);
+    const delayMs = 20 + random(LONGEST_DELAY_MS);
+    const way: Way = random(2) === 0 ? 'there' : 'back';
     const some = this.#nodes.filter(() => random(2) === 0);
     const choices: readonly (readonly [string, Action])[] = [
       ['change of the plan', () => this.#changePlan()],
       ['change of the plan', () => this.#changePlan()],
-      ['connections to the store silent, some', () => some.forEach((each) => each.silence())],
-      ['connections to the store silent, all', () => this.#nodes.forEach((each) => each.silence())],
+      ['connections to the store silent, some', () => some.forEach(SoakWorld.#silence)],
+      ['connections to the store silent, all', () => this.#nodes.forEach(SoakWorld.#silence)],
+      ['connections to the store reset, some', () => some.forEach(SoakWorld.#reset)],
+      [
+        `${node.id}'s way to the store ${delayMs} ms slower, ${forMs} ms`,
+        () => SoakWorld.#disturbed(node, () => SoakWorld.#delay(node.relay, delayMs, forMs)),
+      ],
+      [
+        `${node.id}'s way to the store cut ${way}, ${forMs} ms`,
+        () => SoakWorld.#disturbed(node, () => SoakWorld.#cut(node.relay, way, forMs)),
+      ],
       [`${node.id} killed`, () => node.restart('SIGKILL')],
       [`${node.id} stopped`, () => node.restart('SIGTERM')],
       [`${node.id} paused ${forMs} ms`, () => SoakWorld.#pauseNode(node, forMs)],
@@ -305,18 +329,56 @@
       [`${server.id} loses answers`, () => SoakWorld.#spoil(server, 'lost')],
       [`${server.id} cuts answers`, () => SoakWorld.#spoil(server, 'truncated')],
       [`${server.id} answers without end`, () => SoakWorld.#spoil(server, 'endlessBody')],
+      [`${server.id} answers in crumbs`, () => SoakWorld.#spoil(server, 'endlessCrumbs')],
+      [`${server.id}'s head has no end`, () => SoakWorld.#spoil(server, 'endlessHead')],
+      [`connections to ${server.id} reset`, () => server.relay.reset()],
+      [`connections to ${server.id} silent`, () => server.relay.silence()],
+      [
+        `${server.id} ${delayMs} ms slower, ${forMs} ms`,
+        () => SoakWorld.#delay(server.relay, delayMs, forMs),
+      ],
+      [`${server.id} cut ${way}, ${forMs} ms`, () => SoakWorld.#cut(server.relay, way, forMs)],
       [`${server.id} rejects`, () => SoakWorld.#spoil(server, 'rejected')],
     ];
     return choices[random(choices.length)] as (typeof choices)[number];
   }
 
+  static async #disturbed(node: SoakNode, act: () => Promise<void>): Promise<void> {
+    const end = node.disturb();
+    await act();
+    end();
+  }
+
   static async #pauseNode(node: SoakNode, forMs: number): Promise<void> {
     if (!node.running) return;
-    const end = node.disturb();
-    node.signal('SIGSTOP');
+    await SoakWorld.#disturbed(node, async () => {
+      node.signal('SIGSTOP');
+      await pause(forMs);
+      node.signal('SIGCONT');
+    });
+  }
+
+  static #silence(node: SoakNode): void {
+    node.disturb()();
+    node.relay.silence();
+  }
+
+  static #reset(node: SoakNode): void {
+    node.disturb()();
+    node.relay.reset();
+  }
+
+  /** Delays add up when they overlap. */
+  static async #delay(relay: RelayStandIn, delayMs: number, forMs: number): Promise<void> {
+    Object.assign(relay, { delayMs: relay.delayMs + delayMs });
     await pause(forMs);
-    node.signal('SIGCONT');
-    end();
+    Object.assign(relay, { delayMs: relay.delayMs - delayMs });
+  }
+
+  static async #cut(relay: RelayStandIn, way: Way, forMs: number): Promise<void> {
+    relay.cut.add(way);
+    await pause(forMs);
+    relay.cut.delete(way);
   }
 
   static #spoil({ standIn }: KnownServer, answer: PlatformAnswer): void {
@@ -354,5 +416,6 @@
     await pause(LONGEST_MS);
     this.#store.remove('servers', server.id);
     server.standIn.stop();
+    server.relay.stop();
   }
 }
--- a/src/transport/tests/failures.test.ts
+++ b/src/transport/tests/failures.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import type { BackendStandIn } from '../../../standins/backends.js';
-import { SilencerStandIn } from '../../../standins/silencers.js';
+import { RelayStandIn } from '../../../standins/relays.js';
 import { fleetOf, prefixOf, request, until } from './fleets.js';
 import type { FleetVm, TestFleet } from './fleets.js';
 
@@ -34,11 +34,11 @@
 
 // Guards against settings that no agent learns of while its watch waits on a silent connection.
 it('settings are in force in time after the watches of all agents have gone silent', async () => {
-  const relays: SilencerStandIn[] = [];
+  const relays: RelayStandIn[] = [];
   const fleet = await fleetOf({
     domains: ['a', 'b'],
     reach: async (platform) => {
-      const relay = new SilencerStandIn(new URL(platform).host);
+      const relay = new RelayStandIn(new URL(platform).host);
       relays.push(relay);
       return `http://${await relay.start()}`;
     },
