Script the soak's regression, so that it stays what was red

A seed plays another run whenever there is more to draw from; a regression that is only a seed then guards against nothing that is known. The incident's regression is now a script of named disturbances (all connections to the store silent, a change after the VMs are in touch again, and both at once). The run by seed stays beside it.

--- a/soak/run.ts
+++ b/soak/run.ts
@@ -8,6 +8,19 @@
 /** Runs that were red once, with the cause. */
 const REGRESSIONS: readonly SoakOptions[] = [
   // Plans not in force: all connections to the store silent, then a change (docs/incidents/02).
+  {
+    seed: 3,
+    nodes: 6,
+    lengthMs: 0,
+    disturbances: 0,
+    script: [
+      { atMs: 0, name: 'connections to the store silent, all' },
+      { atMs: 4_000, name: 'change of the plan' },
+      { atMs: 8_000, name: 'connections to the store silent, all' },
+      { atMs: 8_100, name: 'change of the plan' },
+      { atMs: 13_000, name: 'change of the plan' },
+    ],
+  },
   { seed: 3, nodes: 6, lengthMs: 30_000, disturbances: 24 },
 ];
 
--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -63,6 +63,15 @@
   readonly lengthMs: number;
   /** Disturbances that begin in that time. */
   readonly disturbances: number;
+  /** What is done instead, so that it stays the same when there is more to draw from. */
+  readonly script?: readonly ScriptedDisturbance[];
+}
+
+/** One of the disturbances whose names say all. */
+export interface ScriptedDisturbance {
+  /** From when disturbances may begin, in milliseconds. */
+  readonly atMs: number;
+  readonly name: string;
 }
 
 export interface SoakResult {
@@ -281,22 +290,28 @@
 
   /** Begins disturbances at random times, so that they come in series and overlap. */
   async #disturb(): Promise<void> {
-    const { lengthMs, disturbances } = this.#options;
-    const times = Array.from({ length: disturbances }, () => this.#random(lengthMs)).sort(
-      (a, b) => a - b,
-    );
+    const { lengthMs, disturbances, script } = this.#options;
+    const drawn = Array.from({ length: disturbances }, () => this.#random(lengthMs))
+      .sort((x, y) => x - y)
+      .map((atMs) => ({ atMs, name: undefined }));
     const fromMs = this.#now();
     const under: Promise<void>[] = [];
-    for (const atMs of times) {
+    for (const { atMs, name: asked } of script ?? drawn) {
       await pause(Math.max(0, fromMs + atMs - this.#now()));
-      const [name, act] = this.#next();
+      const choices = this.#choices();
+      const [name, act] = (
+        asked === undefined
+          ? choices[this.#random(choices.length)]
+          : choices.find(([each]) => each === asked)
+      ) as (typeof choices)[number];
       this.#done.push(`${Math.round(this.#now())} ms ${name}`);
       under.push(Promise.resolve(act()));
     }
     await Promise.all(under);
   }
 
-  #next(): readonly [string, Action] {
+  /** What may be done now, to things that are drawn. */
+  #choices(): readonly (readonly [string, Action])[] {
     const random = this.#random;
     const node = this.#nodes[random(this.#nodes.length)] as SoakNode;
     const server = this.#servers[random(this.#servers.length)] as KnownServer;
@@ -304,7 +319,7 @@
     const delayMs = 20 + random(LONGEST_DELAY_MS);
     const way: Way = random(2) === 0 ? 'there' : 'back';
     const some = this.#nodes.filter(() => random(2) === 0);
-    const choices: readonly (readonly [string, Action])[] = [
+    return [
       ['change of the plan', () => this.#changePlan()],
       ['change of the plan', () => this.#changePlan()],
       ['connections to the store silent, some', () => some.forEach(SoakWorld.#silence)],
@@ -340,7 +355,6 @@
       [`${server.id} cut ${way}, ${forMs} ms`, () => SoakWorld.#cut(server.relay, way, forMs)],
       [`${server.id} rejects`, () => SoakWorld.#spoil(server, 'rejected')],
     ];
-    return choices[random(choices.length)] as (typeof choices)[number];
   }
 
   static async #disturbed(node: SoakNode, act: () => Promise<void>): Promise<void> {
