Do not count a pause as grace that a stopping process had

Trace: vm-0 was paused from 17,941 to 21,161 ms and got SIGTERM at 18,208. Its log has 102, the begin of its end, at the moment when it ran again; 2.05 s later the soak's five seconds were over. A process that stands still cannot know of the signal, and the platform kills it at the end of the grace all the same, as the soak does. So the check is narrowed to processes that were not paused since their signal; its bound stays.

--- a/soak/nodes.ts
+++ b/soak/nodes.ts
@@ -4,6 +4,7 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 import { RelayStandIn } from '../standins/relays.js';
 
 const PROGRAM = 'target/lovagesail-node.js';
@@ -62,6 +63,9 @@
 
   #expected = false;
 
+  /** When it last began to run again; infinite while it stands still. */
+  #pausedUntilMs = -Infinity;
+
   constructor(options: SoakNodeOptions) {
     this.#options = options;
     this.relay = new RelayStandIn(options.store);
@@ -114,19 +118,35 @@
     };
   }
 
-  signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+  signal(name: 'SIGHUP'): void {
     this.#process?.kill(name);
   }
 
+  /** Stands still for a time. */
+  async pause(forMs: number): Promise<void> {
+    if (this.#process === undefined) return;
+    const end = this.disturb();
+    this.#process.kill('SIGSTOP');
+    this.#pausedUntilMs = Infinity;
+    await pause(forMs);
+    this.#process?.kill('SIGCONT');
+    this.#pausedUntilMs = this.#options.nowMs();
+    end();
+  }
+
   /** Kills the process, or stops it as planned, and starts it again when it is gone. */
   async restart(name: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const child = this.#process;
     if (child === undefined || this.#expected) return;
     const end = this.disturb(name === 'SIGTERM');
+    const signalledMs = this.#options.nowMs();
     this.#expected = true;
     const late = setTimeout(
       () => {
-        this.#options.onFault(`${this.id} outlives its grace`);
+        // A process that stands still learns of the signal when it runs again.
+        if (this.#pausedUntilMs < signalledMs) {
+          this.#options.onFault(`${this.id} outlives its grace`);
+        }
         child.kill('SIGKILL');
       },
       GRACE_S * 1_000 + EXIT_MARGIN_MS,
