Tell how much of its processor an entry VM uses

An entry VM measures each half second how long its event loop had work, as a metric and in two events when it passes 0.7.

--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -16,6 +16,8 @@
   processStopped: { id: 103, level: 'info', text: 'process stopped' },
   invariantBroken: { id: 104, level: 'error', text: 'invariant broken, process ends' },
   linesDropped: { id: 105, level: 'warn', text: 'log lines dropped, too many at once' },
+  processorShort: { id: 106, level: 'warn', text: 'processor time is short, callers wait' },
+  processorEnough: { id: 107, level: 'info', text: 'processor time suffices again' },
   settingsInForce: { id: 201, level: 'info', text: 'settings version in force' },
   settingsRejected: {
     id: 202,
--- a/src/transport/nodemetrics.ts
+++ b/src/transport/nodemetrics.ts
@@ -21,6 +21,12 @@
     registers: [this.registry],
   });
 
+  readonly #busy = new Gauge({
+    name: 'lovagesail_processor_busy_ratio',
+    help: 'Share of the processor time in use during the last half second',
+    registers: [this.registry],
+  });
+
   readonly #storeCalls = new Counter({
     name: 'lovagesail_store_calls_total',
     help: "Calls to the platform's store, by result",
@@ -81,6 +87,11 @@
     this.#lookups.inc();
   }
 
+  /** @param share - 0 to 1. */
+  busy(share: number): void {
+    this.#busy.set(share);
+  }
+
   /** @param nowMs - monotonic time in milliseconds. */
   storeCall(result: string, nowMs: number): void {
     this.#storeCalls.inc({ result });
--- a/src/transport/nodes.ts
+++ b/src/transport/nodes.ts
@@ -16,6 +16,8 @@
 import type { Logger } from './logs.js';
 import { NodeMetrics } from './nodemetrics.js';
 import { UpstreamPool } from './pools.js';
+import { eventLoopMeter } from './processors.js';
+import type { BusyMeter } from './processors.js';
 
 /** Time between two looks at the end of a stopping process, and at shares, in milliseconds. */
 const TICK_MS = 50;
@@ -36,6 +38,9 @@
 /** Time kept for the end of the process itself before it is killed, in milliseconds. */
 const EXIT_MARGIN_MS = 700;
 
+/** Share of the processor time from which callers wait for it noticeably. */
+const SHORT_BUSY = 0.7;
+
 /** Pause between two tries to announce this entry VM, in milliseconds. */
 const ANNOUNCE_PAUSE_MS = 1_000;
 
@@ -44,6 +49,7 @@
   readonly dialect: Dialect;
   readonly log: Logger;
   readonly clock?: Clock;
+  readonly busyMeter?: BusyMeter;
 }
 
 export class EntryNode {
@@ -79,6 +85,9 @@
 
   #stopping = false;
 
+  /** Whether processor time was short when it was last measured. */
+  #short = false;
+
   #startedMs = Infinity;
 
   /** When the process ends at the latest, once callers have had time to go elsewhere. */
@@ -86,7 +95,7 @@
 
   constructor(cfg: NodeConfig, options: NodeOptions) {
     this.#cfg = cfg;
-    this.#options = { clock: systemClock, ...options };
+    this.#options = { clock: systemClock, busyMeter: eventLoopMeter(), ...options };
     const { dialect, log, store } = options;
     const { clock } = this.#options;
     this.#self = {
@@ -257,6 +266,17 @@
     });
     this.#assign(nowMs);
     this.#placer.tick(nowMs);
+    this.#measure();
+  }
+
+  /** Measures this entry VM's processor. */
+  #measure(): void {
+    const busy = this.#options.busyMeter();
+    this.#metrics.busy(busy);
+    if (busy >= SHORT_BUSY === this.#short) return;
+    this.#short = !this.#short;
+    const details = { busy: Number(busy.toFixed(2)), inFlight: this.#carrier.inFlight };
+    this.#options.log(this.#short ? 'processorShort' : 'processorEnough', details);
   }
 
   /** Takes up or gives up the watch of the store, by which entry VMs live and get answers. */
