Share the processor between refusals and work, and bound what waits unseen

Cause: what waited for its turn was refused by its age alone. When a turn of the event loop, which reads all connections, takes longer than requests may wait, all of them are late and none begins; a refusal cost a timer with its abort signal and two turns, so refusing took the whole processor. Up to 1,024 connections waited to be accepted meanwhile, one a turn: a request that got its turn had lain unread for two seconds and counted as new.

Now requests begin for as long as the rest of the turn took, what was read in the turn just over is not late yet, a request that would not begin in time is refused before it waits, a refusal for want of processor time closes its connection (requests on open ones are read before new callers are accepted), and 64 connections wait to be accepted. Why it works: work gets half of the processor whatever is refused beside it, and all that waits is bounded in time.

The test of late requests states that others had their turn, since that is a condition of being late now.

--- a/src/coordination/tests/arrivals.test.ts
+++ b/src/coordination/tests/arrivals.test.ts
@@ -28,8 +28,43 @@
   const arrivals = new Arrivals<string>();
   arrivals.add('price', 0, 0);
   arrivals.add('guide', 2, 0);
+  arrivals.turned(1, 10);
   expect(arrivals.next(150)).to.deep.equal({ item: 'guide', waitedMs: 150, late: true });
   expect(arrivals.next(150)).to.deep.equal({ item: 'price', waitedMs: 150, late: false });
   arrivals.add('price', 0, 0);
+  arrivals.turned(1, 10);
   expect(arrivals.next(300)?.late).to.equal(true);
 });
+
+// Turns longer than the patience made all requests late, and nothing was served (docs/incidents/03).
+it('what was read in one long turn is not late in the next', () => {
+  const arrivals = new Arrivals<string>();
+  arrivals.turned(1, 400);
+  arrivals.add('price', 0, 0);
+  arrivals.add('guide', 2, 0);
+  expect(arrivals.next(400)).to.deep.equal({ item: 'price', waitedMs: 400, late: false });
+  arrivals.turned(1, 400);
+  expect(arrivals.next(800)?.late).to.equal(true);
+});
+
+it('no more requests wait than have their turn in time, fewer of less urgent ones', () => {
+  const arrivals = new Arrivals<string>();
+  for (let i = 0; i < 50; i += 1) arrivals.turned(2, 40);
+  const admitted = (priority: number): number => {
+    let count = 0;
+    while (arrivals.admits(priority)) {
+      arrivals.add('request', priority, 0);
+      count += 1;
+    }
+    return count;
+  };
+  // One begins in 20 ms: 11 wait up to 200 ms.
+  expect(admitted(0)).to.equal(11);
+  expect(admitted(2)).to.equal(0);
+});
+
+it('a request is admitted when none waits, however long turns took before', () => {
+  const arrivals = new Arrivals<string>();
+  arrivals.turned(1, 10_000);
+  expect(arrivals.admits(3)).to.equal(true);
+});
--- a/src/transport/admissions.ts
+++ b/src/transport/admissions.ts
@@ -1,6 +1,6 @@
 /**
- * Lets one request begin in each turn of the event loop. A turn accepts one connection at most, so
- * long turns would leave callers waiting unseen; what waits here is seen, ordered and refused in time.
+ * Lets requests begin turn by turn of the event loop. A turn accepts one connection at most, so long
+ * turns would leave callers waiting unseen; what waits here is seen, ordered and refused in time.
  */
 import type { IncomingMessage } from 'node:http';
 import { setImmediate as turn } from 'node:timers/promises';
@@ -16,7 +16,7 @@
 
 interface Waiting {
   readonly req: IncomingMessage;
-  readonly resolve: (admission: Admission) => void;
+  readonly onTurn: (admission: Admission) => void;
 }
 
 export class Admissions {
@@ -30,38 +30,75 @@
     this.#clock = clock;
   }
 
-  /** Resolves when it is the turn of a request that was read whole. */
-  async admit(req: IncomingMessage, priority: number): Promise<Admission> {
-    const { nowMs } = this.#clock();
+  /** Requests that wait. */
+  get size(): number {
+    return this.#arrivals.size;
+  }
+
+  /** Whether a request would have its turn in time. */
+  admits(priority: number): boolean {
+    return this.#arrivals.admits(priority);
+  }
+
+  /** Calls back when it is the turn of a request that was read whole. */
+  async admit(
+    req: IncomingMessage,
+    priority: number,
+    onTurn: (admission: Admission) => void,
+  ): Promise<void> {
+    const nowMs = this.#now();
     // The end of a connection is read one turn after the last bytes: this one, and that of the pump.
     await turn();
-    return new Promise((resolve) => {
-      this.#arrivals.add({ req, resolve }, priority, nowMs);
-      this.#pump();
-    });
+    this.#arrivals.add({ req, onTurn }, priority, nowMs);
+    await this.#pump();
   }
 
   async #pump(): Promise<void> {
     if (this.#pumping) return;
     this.#pumping = true;
+    let steppedMs = this.#now();
     while (this.#arrivals.size > 0) {
       await turn();
-      this.#step();
+      steppedMs = this.#step(steppedMs);
     }
     this.#pumping = false;
   }
 
-  /** Lets one request begin, and ends all that need no more work. */
-  #step(): void {
+  /**
+   * Lets requests begin for as long as the rest of the turn took, one at least: reading and refusing
+   * never take the whole processor from work that is served.
+   *
+   * @param steppedMs - when the step before ended, monotonic, in milliseconds.
+   * @returns when this one ended.
+   */
+  #step(steppedMs: number): number {
+    const startedMs = this.#now();
+    const endMs = startedMs + (startedMs - steppedMs);
+    let begun = 0;
+    do {
+      if (!this.#beginNext()) break;
+      begun += 1;
+    } while (this.#now() < endMs);
+    const nowMs = this.#now();
+    this.#arrivals.turned(begun, nowMs - steppedMs);
+    return nowMs;
+  }
+
+  /** Lets one request begin, and ends all that need no more work. False when none began. */
+  #beginNext(): boolean {
     for (;;) {
-      const next = this.#arrivals.next(this.#clock().nowMs);
-      if (next === undefined) return;
+      const next = this.#arrivals.next(this.#now());
+      if (next === undefined) return false;
       const { item, waitedMs, late } = next;
       const { socket } = item.req;
       const left = socket.destroyed || socket.readableEnded;
       const type = left ? 'left' : late ? 'late' : 'admitted';
-      item.resolve({ type, waitedMs });
-      if (type === 'admitted') return;
+      item.onTurn({ type, waitedMs });
+      if (type === 'admitted') return true;
     }
   }
+
+  #now(): number {
+    return this.#clock().nowMs;
+  }
 }
--- a/src/transport/bodies.ts
+++ b/src/transport/bodies.ts
@@ -6,7 +6,6 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Fingerprint } from '../state/index.js';
-import { pause } from './clocks.js';
 
 /** Bodies up to this size are kept whole, in bytes. */
 export const KEEP_BYTES = 65_536;
@@ -78,13 +77,14 @@
   const { 'content-length': length, 'transfer-encoding': coding } = req.headers;
   if (length === undefined && coding === undefined) return { type: 'whole', body: undefined };
   if (Number(length ?? 0) > maxBytes) return { type: 'too_large' };
-  const timer = new AbortController();
-  const late = pause(leftMs, timer.signal).then(() => 'late' as const);
-  const read = await Promise.race([readHead(req, maxBytes), late]);
-  timer.abort();
-  if (read === 'late') return { type: 'late' };
-  if (read.failed) return { type: 'left' };
-  return read.ended ? { type: 'whole', body: read.head } : { type: 'too_large' };
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve({ type: 'late' }), leftMs);
+    readHead(req, maxBytes).then((read) => {
+      clearTimeout(timer);
+      if (read.failed) resolve({ type: 'left' });
+      else resolve(read.ended ? { type: 'whole', body: read.head } : { type: 'too_large' });
+    });
+  });
 }
 
 /** A stream of a head and what follows it. Fails when that fails. */
--- a/src/transport/carriers.ts
+++ b/src/transport/carriers.ts
@@ -14,11 +14,12 @@
 import { asUnknown, notRun, unknown } from '../state/index.js';
 import type { Failure, NotRunCode } from '../state/index.js';
 import { Admissions } from './admissions.js';
+import type { Admission } from './admissions.js';
 import { readWhole } from './bodies.js';
 import { writeAnswer, writeFailure } from './callerreplies.js';
 import type { Clock } from './clocks.js';
 import { isOwnFailure, judge, routeOf, runEndOf } from './exchanges.js';
-import type { Exchange, Try } from './exchanges.js';
+import type { Arrival, Exchange, Try } from './exchanges.js';
 import type { LogDetails, Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
 import type { UpstreamPool } from './pools.js';
@@ -117,21 +118,33 @@
       if (read.type === 'late') refuse('deadline', { leftMs });
       return;
     }
-    const admission = await this.#admissions.admit(req, route.priority);
-    if (admission.type !== 'admitted') {
-      const code = admission.type === 'left' ? 'cancelled' : 'overloaded';
-      this.#options.metrics.ended(service, route.priority, code, this.#now() - arrivedMs);
-    }
-    if (admission.type === 'left') {
-      log('requestAbandoned', { request: fields.requestId, running: false });
-      return;
-    }
-    const unreadMs = admission.waitedMs;
-    if (admission.type === 'late') {
-      refuse('overloaded', { unreadMs: Math.round(unreadMs) });
-      return;
+    const start = { req, res, fields, route, service, body: read.body, arrivedMs };
+    if (this.#admissions.admits(route.priority)) {
+      await this.#admissions.admit(req, route.priority, (turn) => this.#admitted(start, turn));
+    } else this.#refuseShort(start, { queuedForProcessor: this.#admissions.size });
+  }
+
+  /** A request has its turn, or has none any more. */
+  #admitted(start: Arrival, { type, waitedMs }: Admission): void {
+    const { fields, service, route, arrivedMs } = start;
+    if (type === 'admitted') this.#begin(start, waitedMs);
+    else if (type === 'late') this.#refuseShort(start, { unreadMs: Math.round(waitedMs) });
+    else {
+      this.#options.metrics.ended(service, route.priority, 'cancelled', this.#now() - arrivedMs);
+      this.#options.log('requestAbandoned', { request: fields.requestId, running: false });
     }
-    this.#begin({ req, res, fields, route, service, body: read.body, arrivedMs, unreadMs });
+  }
+
+  /**
+   * Refuses a request for which the processor has no time. Its connection is closed: requests on open
+   * connections are read before new callers are accepted, and would keep them waiting.
+   */
+  #refuseShort({ res, fields, service, route, arrivedMs }: Arrival, details: LogDetails): void {
+    const { metrics, log } = this.#options;
+    res.setHeader('connection', 'close');
+    this.#fail(res, notRun('overloaded'), RETRY_AFTER_MS);
+    metrics.ended(service, route.priority, 'overloaded', this.#now() - arrivedMs);
+    log('requestNotRun', { request: fields.requestId, code: 'overloaded', ...details });
   }
 
   /** Offers room to those that wait; again after a while as long as there are any. */
@@ -150,13 +163,9 @@
     this.#timer = setTimeout(() => this.tick(), TICK_MS);
   }
 
-  #begin(
-    start: Pick<
-      Exchange,
-      'req' | 'res' | 'fields' | 'route' | 'service' | 'body' | 'arrivedMs' | 'unreadMs'
-    >,
-  ): void {
-    const { route, fields, arrivedMs, unreadMs, res } = start;
+  /** @param unreadMs - time for which it waited here: about as long as it had been unread before. */
+  #begin(start: Arrival, unreadMs: number): void {
+    const { route, fields, arrivedMs, res } = start;
     const leftMs = Math.min(fields.leftMs ?? DEFAULT_LEFT_MS, route.timeoutMs) - unreadMs;
     const exchange: Exchange = {
       ...start,
--- a/src/transport/exchanges.ts
+++ b/src/transport/exchanges.ts
@@ -14,17 +14,20 @@
   slow: NodeJS.Timeout | undefined;
 }
 
-/** One caller's request from its arrival to its end. */
-export interface Exchange {
+/** One caller's request that was read whole. */
+export interface Arrival {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly fields: CallerFields;
   readonly route: RoutePlan;
   readonly service: ServiceName;
   readonly body: Buffer | undefined;
-  /** When it was read, and how long it waited then: about as long as it had been unread before. */
+  /** When it was read. */
   readonly arrivedMs: number;
-  readonly unreadMs: number;
+}
+
+/** One caller's request from its arrival to its end. */
+export interface Exchange extends Arrival {
   /** When the caller or the route gives up. */
   readonly endsMs: number;
   readonly tried: Set<BackendServerId>;
--- a/src/transport/gateways.ts
+++ b/src/transport/gateways.ts
@@ -17,8 +17,11 @@
 /** Largest header section that a caller may send, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
 
-/** Connections that may wait to be accepted. */
-const BACKLOG = 1_024;
+/**
+ * Connections that may wait to be accepted. Nobody sees what waits there: with more, a busy loop would
+ * leave requests unread beyond their route's timeout, where a caller without a connection goes elsewhere.
+ */
+const BACKLOG = 64;
 
 export interface Lookup {
   readonly failureDomain: FailureDomainId | undefined;
