Revert "Lead callers away from entry VMs whose processor is short"

All entry VMs are near their limit there; one that passes 0.9 halves its share, its callers overload the next one, and callers that move lose the homes of their objects.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,7 +1,6 @@
 /** The decisions: pure state machines, to which the clock and the random source are passed in. */
 export * from './agents.js';
 export * from './arrivals.js';
-export * from './callershares.js';
 export * from './attempts.js';
 export * from './budgets.js';
 export type * from './callflows.js';
--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -7,7 +7,6 @@
   Incarnation,
   RegionId,
 } from '../state/index.js';
-import { drawTakers } from './callershares.js';
 import { FACT_KINDS } from './fleetviews.js';
 import type { Revisions } from './fleetviews.js';
 import type { LoadSighting } from './sightings.js';
@@ -30,8 +29,6 @@
   readonly stopping: boolean;
   /** Whether it watches the platform's store and gets answers. */
   readonly watching: boolean;
-  /** Share of its callers that it can take, 0 to 1. */
-  readonly callerShare: number;
   readonly revisions: Revisions;
   /** Live entry VMs of the sender's region, for those of other regions. */
   readonly near: readonly EntryVmId[];
@@ -39,26 +36,12 @@
   readonly sightings: readonly LoadSighting[];
 }
 
-/** Where a caller is. */
-export interface Place {
-  readonly failureDomain: FailureDomainId;
-  readonly region: RegionId;
-}
-
-/** What a caller is told. */
-export interface CallerTargets {
-  readonly addresses: readonly Endpoint[];
-  /** Whether none of them is in the caller's failure domain. */
-  readonly ledAway: boolean;
-}
-
 interface KnownPeer {
   record: PeerRecord;
   incarnation: Incarnation | undefined;
   ready: boolean;
   stopping: boolean;
   watching: boolean;
-  callerShare: number;
   heardMs: number;
   /** When it last failed to hand over facts that it said to have. */
   failedMs: number;
@@ -105,7 +88,6 @@
         ready: false,
         stopping: false,
         watching: false,
-        callerShare: 1,
         heardMs: -Infinity,
         failedMs: -Infinity,
         revisions: undefined,
@@ -119,13 +101,20 @@
 
   /** Takes in a heartbeat. True when the entry VM was not live before. */
   heard(heartbeat: Heartbeat, nowMs: number): boolean {
-    const { peer, near, sightings, ...told } = heartbeat;
+    const { peer, incarnation, ready, stopping, watching, revisions, near } = heartbeat;
     if (peer.id === this.#self.id) return false;
     this.list(peer);
     const known = this.#peers.get(peer.id);
     if (known === undefined) return false;
     const wasLive = isLive(known, nowMs);
-    Object.assign(known, told, { heardMs: nowMs });
+    Object.assign(known, {
+      incarnation,
+      ready,
+      stopping,
+      watching,
+      revisions,
+      heardMs: nowMs,
+    });
     if (peer.region !== this.#self.region) this.#vouched(near, nowMs);
     return !wasLive;
   }
@@ -201,32 +190,28 @@
   }
 
   /**
-   * Where a caller is told to go: entry VMs of its failure domain, or others of its region while those
-   * are overloaded; without any in its failure domain those of its region, else any.
+   * Addresses for a caller: entry VMs of its failure domain, else of its region, else any.
    *
-   * @param self - whether this entry VM takes work itself, and the share of its callers that it can take.
-   * @param random - draws from 0 to 1.
+   * @param selfReady - whether this entry VM takes work itself.
    */
   addressesFor(
-    { failureDomain, region }: Place,
-    self: { readonly ready: boolean; readonly share: number },
+    domain: FailureDomainId,
+    region: RegionId,
+    selfReady: boolean,
     nowMs: number,
-    random: () => number,
-  ): CallerTargets {
+  ): readonly Endpoint[] {
     const ready = [...this.#peers.values()]
       .filter((peer) => takesWork(peer, nowMs))
-      .map(({ record, callerShare }) => ({ record, share: callerShare }));
-    if (self.ready) ready.push({ record: this.#self, share: self.share });
-    const inRegion = ready.filter(({ record }) => record.region === region);
-    const home = inRegion.filter(({ record }) => record.failureDomain === failureDomain);
-    const others = inRegion.filter(({ record }) => record.failureDomain !== failureDomain);
-    const choices = [home, inRegion, ready, [{ record: this.#self, share: self.share }]];
+      .map((peer) => peer.record);
+    if (selfReady) ready.push(this.#self);
+    const choices = [
+      ready.filter((peer) => peer.failureDomain === domain),
+      ready.filter((peer) => peer.region === region),
+      ready,
+      [this.#self],
+    ];
     const chosen = choices.find((choice) => choice.length > 0) ?? [];
-    const drawn = drawTakers(chosen, chosen === home ? others : [], random);
-    return {
-      addresses: drawn.slice(0, MAX_ADDRESSES).map(({ record }) => record.callerAddress),
-      ledAway: drawn.every(({ record }) => record.failureDomain !== failureDomain),
-    };
+    return chosen.slice(0, MAX_ADDRESSES).map((peer) => peer.callerAddress);
   }
 }
 
--- a/src/coordination/tests/shares.test.ts
+++ b/src/coordination/tests/shares.test.ts
@@ -142,7 +142,6 @@
     ready: true,
     stopping: false,
     watching: true,
-    callerShare: 1,
     revisions: { plan: 1, servers: 1, evacuations: 1 },
     near: [],
     sightings: [],
@@ -159,12 +158,7 @@
   const view = new PeerView(SELF);
   [NEAR, NEXT, FAR].forEach((record) => view.heard(beat(record), 0));
   const told = (domain: string, region: string): readonly string[] =>
-    view.addressesFor(
-      { failureDomain: domain as FailureDomainId, region: region as RegionId },
-      { ready: true, share: 1 },
-      100,
-      () => 0.5,
-    ).addresses;
+    view.addressesFor(domain as FailureDomainId, region as RegionId, true, 100);
   expect(told('a1', 'a')).to.have.members([NEAR.callerAddress, SELF.callerAddress]);
   expect(told('a2', 'a')).to.deep.equal([NEXT.callerAddress]);
   expect(told('b2', 'b')).to.deep.equal([FAR.callerAddress]);
@@ -175,12 +169,7 @@
   view.heard(beat(NEAR), 0);
   view.heard(beat(NEXT, { stopping: true }), 0);
   const told = (nowMs: number, ready: boolean): readonly string[] =>
-    view.addressesFor(
-      { failureDomain: 'a2' as FailureDomainId, region: A },
-      { ready, share: 1 },
-      nowMs,
-      () => 0.5,
-    ).addresses;
+    view.addressesFor('a2' as FailureDomainId, A, ready, nowMs);
   expect(told(100, false)).to.deep.equal([NEAR.callerAddress]);
   expect(told(3_000, false)).to.deep.equal([SELF.callerAddress]);
 });
--- a/src/coordination/tests/watchers.test.ts
+++ b/src/coordination/tests/watchers.test.ts
@@ -25,7 +25,6 @@
     ready: true,
     stopping: false,
     watching: false,
-    callerShare: 1,
     revisions: { plan: 1, servers: 1, evacuations: 1 },
     near: [],
     sightings: [],
--- a/src/protocol/heartbeats.ts
+++ b/src/protocol/heartbeats.ts
@@ -28,7 +28,6 @@
   ready: z.boolean(),
   stopping: z.boolean(),
   watching: z.boolean(),
-  callerShare: z.number().min(0).max(1),
   revisions: z.object({ plan: revision(), servers: revision(), evacuations: revision() }),
   near: z.array(EntryVmId).max(MAX_VOUCHED),
   sightings: z.array(SightingMessage).max(MAX_SIGHTINGS),
--- a/src/transport/beacons.ts
+++ b/src/transport/beacons.ts
@@ -60,7 +60,6 @@
   /** Whether the platform's store is watched from here, and whether it answers. */
   readonly assigned: () => boolean;
   readonly watching: () => boolean;
-  readonly callerShare: () => number;
   /** What servers said of their load since the last heartbeat. */
   readonly sightings: (nowMs: number) => readonly LoadSighting[];
   /** Told what servers said to others. */
@@ -152,14 +151,13 @@
   }
 
   #heartbeat(): Heartbeat {
-    const { self, incarnation, view, ready, stopping, watching, callerShare } = this.#options;
+    const { self, incarnation, view, ready, stopping, watching } = this.#options;
     return {
       peer: self,
       incarnation,
       ready: ready(),
       stopping: stopping(),
       watching: watching(),
-      callerShare: callerShare(),
       revisions: view.revisions,
       near: [],
       sightings: [],
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -18,7 +18,6 @@
   linesDropped: { id: 105, level: 'warn', text: 'log lines dropped, too many at once' },
   processorShort: { id: 106, level: 'warn', text: 'processor time is short, callers wait' },
   processorEnough: { id: 107, level: 'info', text: 'processor time suffices again' },
-  callerShareChanged: { id: 108, level: 'info', text: 'look-ups lead more or fewer callers here' },
   settingsInForce: { id: 201, level: 'info', text: 'settings version in force' },
   settingsRejected: {
     id: 202,
--- a/src/transport/nodemetrics.ts
+++ b/src/transport/nodemetrics.ts
@@ -17,8 +17,7 @@
 
   readonly #lookups = new Counter({
     name: 'lovagesail_lookups_total',
-    help: "Look-ups answered, by where callers were told to go: the caller's failure domain or others",
-    labelNames: ['to'] as const,
+    help: 'Look-ups answered',
     registers: [this.registry],
   });
 
@@ -28,12 +27,6 @@
     registers: [this.registry],
   });
 
-  readonly #callerShare = new Gauge({
-    name: 'lovagesail_caller_share_ratio',
-    help: 'Share of its callers that this entry VM tells others it can take',
-    registers: [this.registry],
-  });
-
   readonly #storeCalls = new Counter({
     name: 'lovagesail_store_calls_total',
     help: "Calls to the platform's store, by result",
@@ -69,7 +62,6 @@
    * @param nowMs - monotonic time in milliseconds.
    */
   constructor(inFlight: () => number, nowMs: () => number) {
-    this.#callerShare.set(1);
     collectDefaultMetrics({ register: this.registry });
     const gauge: Gauge = new Gauge({
       name: 'lovagesail_requests_in_flight',
@@ -91,14 +83,8 @@
     this.#requests.observe({ service, priority: String(priority), outcome }, tookMs / 1000);
   }
 
-  /** @param ledAway - whether no entry VM of the caller's failure domain was named. */
-  lookup(ledAway: boolean): void {
-    this.#lookups.inc({ to: ledAway ? 'other_domain' : 'own_domain' });
-  }
-
-  /** @param share - 0 to 1. */
-  callerShare(share: number): void {
-    this.#callerShare.set(share);
+  lookup(): void {
+    this.#lookups.inc();
   }
 
   /** @param share - 0 to 1. */
--- a/src/transport/nodes.ts
+++ b/src/transport/nodes.ts
@@ -1,7 +1,7 @@
 /** The program of an entry VM: joins facts, heartbeats, carrier and servers. */
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
-import { CallerShare, FleetView, PeerView, Placer, RepeatBudget } from '../coordination/index.js';
+import { FleetView, PeerView, Placer, RepeatBudget } from '../coordination/index.js';
 import type { PeerRecord } from '../coordination/index.js';
 import type { Dialect, FactStore, NodeConfig } from '../protocol/index.js';
 import { Incarnation } from '../state/index.js';
@@ -85,8 +85,6 @@
 
   #stopping = false;
 
-  readonly #callerShare = new CallerShare();
-
   /** Whether processor time was short when it was last measured. */
   #short = false;
 
@@ -167,7 +165,6 @@
       stopping: () => this.#stopping,
       assigned: () => this.#watch.assigned,
       watching: () => this.#watch.working,
-      callerShare: () => this.#callerShare.share,
       sightings: (nowMs) => this.#placer.loads.takeSightings(nowMs),
       onSightings: (sightings, nowMs) => {
         const known = sightings.filter(({ server }) => this.#view.server(server) !== undefined);
@@ -250,14 +247,14 @@
   }
 
   #lookup({ failureDomain, region }: Lookup): unknown {
+    this.#metrics.lookup();
     const { failureDomain: ownDomain, region: ownRegion, bounds } = this.#cfg;
-    const { addresses, ledAway } = this.#peers.addressesFor(
-      { failureDomain: failureDomain ?? ownDomain, region: region ?? ownRegion },
-      { ready: this.ready, share: this.#callerShare.share },
+    const addresses = this.#peers.addressesFor(
+      failureDomain ?? ownDomain,
+      region ?? ownRegion,
+      this.ready,
       this.#options.clock().nowMs,
-      Math.random,
     );
-    this.#metrics.lookup(ledAway);
     return this.#options.dialect.lookupBody(addresses, Math.min(LOOKUP_TTL_MS, bounds.lookupTtlS));
   }
 
@@ -269,18 +266,13 @@
     });
     this.#assign(nowMs);
     this.#placer.tick(nowMs);
-    this.#measure(nowMs);
+    this.#measure();
   }
 
-  /** Measures this entry VM's processor, and takes fewer callers while it is short. */
-  #measure(nowMs: number): void {
+  /** Measures this entry VM's processor. */
+  #measure(): void {
     const busy = this.#options.busyMeter();
     this.#metrics.busy(busy);
-    if (nowMs - this.#startedMs >= SETTLE_MS && this.#callerShare.measured(busy, nowMs)) {
-      const { share } = this.#callerShare;
-      this.#metrics.callerShare(share);
-      this.#options.log('callerShareChanged', { share, busy: Number(busy.toFixed(2)) });
-    }
     if (busy >= SHORT_BUSY === this.#short) return;
     this.#short = !this.#short;
     const details = { busy: Number(busy.toFixed(2)), inFlight: this.#carrier.inFlight };
