Count requests of the same turn before another one may wait

All requests that are read in one turn of the event loop passed the gate together, since each was counted a turn later: with many callers they were refused as late, the dearer way. They count from the moment at which they pass now.

Test: arrivals.test.ts, red without it by its missing parameter.

--- a/src/coordination/arrivals.ts
+++ b/src/coordination/arrivals.ts
@@ -43,9 +43,10 @@
    * waits already is not held up by work for requests that end as late.
    *
    * @param priority - 0 is the most urgent.
+   * @param entering - requests of any rank that are about to wait.
    */
-  admits(priority: number): boolean {
-    const before = this.#waiting.filter((each) => each.priority <= priority).length;
+  admits(priority: number, entering = 0): boolean {
+    const before = this.#waiting.filter((each) => each.priority <= priority).length + entering;
     return before * this.#paceMs <= patienceMs(priority);
   }
 
--- a/src/coordination/tests/arrivals.test.ts
+++ b/src/coordination/tests/arrivals.test.ts
@@ -63,6 +63,13 @@
   expect(admitted(2)).to.equal(0);
 });
 
+it('requests that are about to wait count as well', () => {
+  const arrivals = new Arrivals<string>();
+  for (let i = 0; i < 50; i += 1) arrivals.turned(1, 20);
+  expect(arrivals.admits(0, 9)).to.equal(true);
+  expect(arrivals.admits(0, 11)).to.equal(false);
+});
+
 it('a request is admitted when none waits, however long turns took before', () => {
   const arrivals = new Arrivals<string>();
   arrivals.turned(1, 10_000);
--- a/src/transport/admissions.ts
+++ b/src/transport/admissions.ts
@@ -24,6 +24,9 @@
 
   readonly #arrivals = new Arrivals<Waiting>();
 
+  /** Requests that begin to wait in this turn. */
+  #entering = 0;
+
   #pumping = false;
 
   constructor(clock: Clock) {
@@ -32,12 +35,12 @@
 
   /** Requests that wait. */
   get size(): number {
-    return this.#arrivals.size;
+    return this.#arrivals.size + this.#entering;
   }
 
   /** Whether a request would have its turn in time. */
   admits(priority: number): boolean {
-    return this.#arrivals.admits(priority);
+    return this.#arrivals.admits(priority, this.#entering);
   }
 
   /** Calls back when it is the turn of a request that was read whole. */
@@ -47,8 +50,10 @@
     onTurn: (admission: Admission) => void,
   ): Promise<void> {
     const nowMs = this.#now();
+    this.#entering += 1;
     // The end of a connection is read one turn after the last bytes: this one, and that of the pump.
     await turn();
+    this.#entering -= 1;
     this.#arrivals.add({ req, onTurn }, priority, nowMs);
     await this.#pump();
   }
