--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -9,4 +9,3 @@
 export * from './nodes.js';
 export * from './peers.js';
 export * from './platforms.js';
-export type { BusyMeter } from './processors.js';
