Count what is done to a server's connections when the soak judges planned stops

The trace: s-3 was cut off one way from 10.99 to 12.84 s, vm-4 was told to stop at 9.34 and its grace ended at 12.65; the three requests were sent to s-3 at 11.68 to 11.76 and 11.15 s, held back by the cut, and reached s-3 when vm-4 was gone. Nothing but a longer grace could have served them, and the same is not counted when the store or the entry VM is disturbed.

The check now takes what was done to the connections of the server that ran the request beside what was done to the entry VM and the store; all else is as strict as before.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -45,13 +45,19 @@
   readonly atMs: number;
 }
 
+/** Where a backend server ran a request. */
+export interface RunPlace {
+  /** What was done to the server's connections. */
+  readonly disturbances: readonly Disturbance[];
+}
+
 export interface Observed {
   readonly attempts: readonly Attempt[];
   readonly probes: readonly Probe[];
   readonly changes: readonly PlanChange[];
   readonly storeDisturbances: readonly Disturbance[];
-  /** How often backend servers began to run each request. */
-  readonly runs: ReadonlyMap<string, number>;
+  /** The runs that backend servers began of each request. */
+  readonly runs: ReadonlyMap<string, readonly RunPlace[]>;
   /** When the last disturbance ended. */
   readonly calmMs: number;
 }
@@ -71,7 +77,7 @@
 
 function checkAttempts({ attempts, runs }: Observed): string[] {
   return attempts.flatMap(({ id, node, idempotent, status, whole }) => {
-    const ran = runs.get(id) ?? 0;
+    const ran = runs.get(id)?.length ?? 0;
     const seen = `${id} at ${node.id}: status ${status ?? 'none'}, ${ran} runs`;
     const faults: string[] = [];
     if (!idempotent && ran > 1) faults.push(`ran twice: ${seen}`);
@@ -82,13 +88,16 @@
   });
 }
 
-/** No request that a server has begun to run is cut off by a planned stop. */
+/** No request that a server has begun to run is cut off by a planned stop, if the server was reached. */
 function checkStops(observed: Observed): string[] {
   return observed.attempts.flatMap(({ id, node, sentMs, endedMs, status }) => {
-    if (status !== undefined || !observed.runs.has(id)) return [];
-    const near = [...node.disturbances, ...observed.storeDisturbances].filter((each) =>
-      touches(each, sentMs - STABLE_MS, endedMs),
-    );
+    const runs = observed.runs.get(id);
+    if (status !== undefined || runs === undefined) return [];
+    const near = [
+      ...node.disturbances,
+      ...observed.storeDisturbances,
+      ...runs.flatMap(({ disturbances }) => disturbances),
+    ].filter((each) => touches(each, sentMs - STABLE_MS, endedMs));
     const onlyPlanned = near.length > 0 && near.every((each) => each.planned);
     return onlyPlanned ? [`cut off by a planned stop: ${id} at ${node.id}`] : [];
   });
