Ask a store again in time after a question that hung

Callers saw, or could see: a change that was confirmed as the store came back was in force up to 2.9 s later at an entry VM that nobody else told of it; 2.5 s are allowed.

Cause: the question for the store's revision hangs for 1.5 s while the store is silent, and a whole interval of 1.2 s was added to that: one question in 2.7 s. The watches are of no help, since they hang for longer. The interval is now counted from the start of a question, with a pause of 0.25 s at least.

Ruled out: a shorter time for answers (a slow store takes 0.24 s and more); questions more often while the store is well (they are priced). A store that refuses gets no more questions than before.

--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -14,9 +14,9 @@
 const MAX_HOLD_MS = 19_000;
 
 /**
- * Time between two questions for the store's revision, in milliseconds. A watch whose connection has gone
- * silent is found out by then; asking anew must still fit into the two seconds or so in which a change is
- * to be in force.
+ * Time from one question for the store's revision to the next, in milliseconds, if the answer is there by
+ * then. A watch whose connection has gone silent is found out by then; asking anew must still fit into the
+ * two seconds or so in which a change is to be in force.
  */
 const CHECK_MS = 1_200;
 
@@ -143,11 +143,13 @@
    */
   async #check(): Promise<void> {
     const { store } = this.#options;
+    let calledMs = this.#now();
     while (!this.#ended.signal.aborted) {
       if (!this.#assigned) await this.#untilAssigned();
-      await pause(CHECK_MS, this.#checkSoon.signal);
+      const pauseMs = Math.max(FIRST_PAUSE_MS, calledMs + CHECK_MS - this.#now());
+      await pause(pauseMs, this.#checkSoon.signal);
       this.#checkSoon = new AbortController();
-      const calledMs = this.#now();
+      calledMs = this.#now();
       const revision = await store.revision();
       this.#note('revision', revision.isErr() ? revision.error : undefined, calledMs);
       if (revision.isOk() && this.#ledger.missing(revision.value).length > 0) {
