Ask for all kinds at once when one call finds that the store answers again

Callers could see a change late at an entry VM although it had reached the store again: what one call had found out ended only watches that waited. A pause after a failed call went on for up to 2.25 s, and a list that hung on a lost connection ended 1.5 s later as failed, with such a pause behind it.

Cause: liveness of the store is one fact, but each kind kept a belief of its own. Now the call or the pause of every other kind ends when one call is answered.

Evidence: the test is red before (no call within 0.3 s).

--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -40,8 +40,8 @@
 
 /** The platform's store. */
 export interface FactStore {
-  /** All facts of a kind. */
-  list(kind: FactKind): Promise<Result<FactBatch, StoreFailure>>;
+  /** All facts of a kind. The signal ends the call. */
+  list(kind: FactKind, signal?: AbortSignal): Promise<Result<FactBatch, StoreFailure>>;
   /**
    * Waits for facts that are newer than a revision.
    *
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -1,5 +1,4 @@
 /** Keeps an entry VM's facts up to date with the platform's store. */
-import { Ok } from 'ts-results-es';
 import { FACT_KINDS, RevisionLedger } from '../coordination/index.js';
 import type { FactKind, FleetView } from '../coordination/index.js';
 import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
@@ -42,9 +41,6 @@
  */
 const LAPSE_GRACE_MS = 2_000;
 
-/** What a watch brings that was ended early. */
-const NOTHING: FactBatch = { facts: [], revision: 0, changes: [] };
-
 /** A watch that waits for the store. */
 interface Waiting {
   readonly call: AbortController;
@@ -74,6 +70,9 @@
 
   readonly #waiting = new Map<FactKind, Waiting>();
 
+  /** Ends each kind's present call, or its pause after a failed one. */
+  readonly #turns = new Map<FactKind, AbortController>();
+
   readonly #ledger = new RevisionLedger();
 
   /** Kinds that are to be listed, since their watch may have missed a change. */
@@ -104,7 +103,7 @@
   stop(): void {
     this.#ended.abort();
     this.#checkSoon.abort();
-    this.#waiting.forEach(({ call }) => call.abort());
+    FACT_KINDS.forEach((kind) => this.#askAnew(kind));
   }
 
   get assigned(): boolean {
@@ -137,6 +136,11 @@
     this.#waiting.get(kind)?.call.abort();
   }
 
+  /** Ends a call that hangs, or a pause after one that failed. */
+  #askAnew(kind: FactKind): void {
+    this.#turns.get(kind)?.abort();
+  }
+
   /**
    * Compares the store's revision with what the watches have brought. A watch that waits proves nothing:
    * its connection may have gone silent.
@@ -181,8 +185,10 @@
         known = this.#options.view.revisions[kind];
       }
       if (this.#unsure.delete(kind)) known = undefined;
+      const turn = new AbortController();
+      this.#turns.set(kind, turn);
       const batch: Awaited<ReturnType<FactStore['list']>> =
-        known === undefined ? await this.#list(kind) : await this.#watch(kind, known);
+        known === undefined ? await this.#list(kind, turn) : await this.#watch(kind, known, turn);
       if (batch.isOk()) {
         known = batch.value.revision;
         pauseMs = FIRST_PAUSE_MS;
@@ -190,8 +196,8 @@
       } else if (batch.error === 'history_gone') {
         this.#options.log('historyGone', { kind, since: known });
         known = undefined;
-      } else if (!this.#ended.signal.aborted) {
-        await pause(pauseMs * (0.5 + Math.random()), this.#ended.signal);
+      } else if (!turn.signal.aborted) {
+        await pause(pauseMs * (0.5 + Math.random()), turn.signal);
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
       }
     }
@@ -203,9 +209,10 @@
     });
   }
 
-  async #list(kind: FactKind): ReturnType<FactStore['list']> {
+  async #list(kind: FactKind, { signal }: AbortController): ReturnType<FactStore['list']> {
     const calledMs = this.#now();
-    const batch = await this.#options.store.list(kind);
+    const batch = await this.#options.store.list(kind, signal);
+    if (signal.aborted && batch.isErr()) return batch;
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) {
       this.#ledger.listed(kind, batch.value.revision);
@@ -214,14 +221,17 @@
     return batch;
   }
 
-  async #watch(kind: FactKind, since: number): ReturnType<FactStore['list']> {
-    const call = new AbortController();
+  async #watch(
+    kind: FactKind,
+    since: number,
+    call: AbortController,
+  ): ReturnType<FactStore['list']> {
     const holdMs = Math.round(MIN_HOLD_MS + Math.random() * (MAX_HOLD_MS - MIN_HOLD_MS));
     const calledMs = this.#now();
     this.#waiting.set(kind, { call, sinceMs: calledMs });
     const batch = await this.#options.store.watch(kind, since, holdMs, call.signal);
     this.#waiting.delete(kind);
-    if (call.signal.aborted && batch.isErr()) return Ok({ ...NOTHING, revision: since });
+    if (call.signal.aborted && batch.isErr()) return batch;
     this.#note(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) {
       this.#ledger.told(batch.value.changes);
@@ -341,7 +351,7 @@
       const outageMs = nowMs - lostMs;
       if (outageMs >= LAPSING_OUTAGE_MS) this.#returnedMs = nowMs;
       log('storeRegained', { call, outageMs: Math.round(outageMs) });
-      FACT_KINDS.filter((kind) => kind !== call).forEach((kind) => this.renew(kind));
+      FACT_KINDS.filter((kind) => kind !== call).forEach((kind) => this.#askAnew(kind));
     }
   }
 
--- a/src/transport/tests/factwatches.test.ts
+++ b/src/transport/tests/factwatches.test.ts
@@ -106,3 +106,23 @@
   const [first = 0, second = Infinity] = askedMs;
   expect(second - first).to.be.below(IN_FORCE_MS);
 });
+
+// Guards against plans that are late since the pause, or the hanging call, of one kind outlasts the
+// outage that another kind's call has found to be over.
+it('once the store answers a call, all kinds are asked for at once', async () => {
+  const store = new ScriptedStore();
+  const watch = watchOf(store);
+  await store.answer('list plan', 1, EMPTY);
+  await store.answer('list servers', 1, EMPTY);
+  await store.answer('list evacuations', 1, Err('silent'));
+  await store.answer('watch servers', 1, Err('silent'));
+  for (let failure = 1; failure <= FAILURES; failure += 1) {
+    await store.answer('watch plan', failure, Err('silent'));
+  }
+  await until('a list hangs', () => store.count('list evacuations') === 2);
+  await store.answer('watch servers', 2, EMPTY);
+  await until('the plan is asked for', () => store.count('watch plan') > FAILURES, AT_ONCE_MS);
+  await until('evacuations as well', () => store.count('list evacuations') > 2, AT_ONCE_MS);
+  expect(store.count('watch servers')).to.equal(3);
+  watch.stop();
+});
