Let the reading of a body count against the deadline at lovagesail-entry

Callers whose body did not end were held on for 300 s, Node's own bound for a whole request, whatever deadline they stated; and the deadline of a body that came slowly began only when it was whole.

Cause: readBody waited for bytes without a time. Now readHead takes the time, for both programs; a body that is not whole by then ends the request with the code deadline and closes the connection. It has not run, and is told so unless it has an id: an earlier sending of the same id may have run.

Ruled out: requestTimeout of the server: it is one figure for all requests, and large bodies may take longer.

--- a/src/transport/answers.ts
+++ b/src/transport/answers.ts
@@ -28,9 +28,9 @@
   body: Readable,
 ): Promise<Answer | undefined> {
   const kept = endToEnd(headers);
-  const { head, ended, failed } = await readHead(body, SMALL_ANSWER_BYTES);
-  if (failed) return undefined;
-  return { status, headers: kept, body: ended ? head : joined(head, body) };
+  const { head, end } = await readHead(body, SMALL_ANSWER_BYTES);
+  if (end === 'failed') return undefined;
+  return { status, headers: kept, body: end === 'whole' ? head : joined(head, body) };
 }
 
 /** The form in which an answer is kept for later sendings; undefined when it is too large. */
--- a/src/transport/bodies.ts
+++ b/src/transport/bodies.ts
@@ -21,35 +21,44 @@
   readonly rest: Readable | undefined;
 }
 
-export type BodyFailure = 'too_large' | 'cancelled';
+export type BodyFailure = 'too_large' | 'cancelled' | 'deadline';
 
-/** Reads a stream to its end, or until more than `limit` bytes are there; then it stays paused. */
-export function readHead(
-  stream: Readable,
-  limit: number,
-): Promise<{ readonly head: Buffer; readonly ended: boolean; readonly failed: boolean }> {
+/** How the reading of a stream's head ended. */
+export interface StreamHead {
+  readonly head: Buffer;
+  /**
+   * `whole`: the stream has ended. `more`: the limit is passed, and the stream is paused. `failed`: it
+   * broke. `late`: it had not ended in time.
+   */
+  readonly end: 'whole' | 'more' | 'failed' | 'late';
+}
+
+/** Reads a stream to its end, until more than `limit` bytes are there, or for a time in milliseconds. */
+export function readHead(stream: Readable, limit: number, forMs?: number): Promise<StreamHead> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    const settle = (ended: boolean, failed: boolean): void => {
+    const settle = (end: StreamHead['end']): void => {
+      clearTimeout(timer);
       stream.off('data', onData);
       stream.off('end', onEnd);
       stream.off('error', onError);
       stream.off('close', onError);
-      resolve({ head: Buffer.concat(chunks), ended, failed });
+      resolve({ head: Buffer.concat(chunks), end });
     };
+    const timer = forMs === undefined ? undefined : setTimeout(() => settle('late'), forMs);
     function onData(chunk: Buffer): void {
       chunks.push(chunk);
       bytes += chunk.length;
       if (bytes <= limit) return;
       stream.pause();
-      settle(false, false);
+      settle('more');
     }
     function onEnd(): void {
-      settle(true, false);
+      settle('whole');
     }
     function onError(): void {
-      settle(false, true);
+      settle('failed');
     }
     stream.on('data', onData);
     stream.once('end', onEnd);
@@ -77,14 +86,10 @@
   const { 'content-length': length, 'transfer-encoding': coding } = req.headers;
   if (length === undefined && coding === undefined) return { type: 'whole', body: undefined };
   if (Number(length ?? 0) > maxBytes) return { type: 'too_large' };
-  return new Promise((resolve) => {
-    const timer = setTimeout(() => resolve({ type: 'late' }), leftMs);
-    readHead(req, maxBytes).then((read) => {
-      clearTimeout(timer);
-      if (read.failed) resolve({ type: 'left' });
-      else resolve(read.ended ? { type: 'whole', body: read.head } : { type: 'too_large' });
-    });
-  });
+  const { head, end } = await readHead(req, maxBytes, leftMs);
+  if (end === 'whole') return { type: 'whole', body: head };
+  const types = { more: 'too_large', failed: 'left', late: 'late' } as const;
+  return { type: types[end] };
 }
 
 /** A stream of a head and what follows it. Fails when that fails. */
@@ -99,10 +104,15 @@
   return out;
 }
 
-/** Reads the body of a request as far as it is kept. */
+/**
+ * Reads the body of a request as far as it is kept.
+ *
+ * @param forMs - time for that, in milliseconds.
+ */
 export async function readBody(
   req: IncomingMessage,
   maxBytes: number,
+  forMs: number,
 ): Promise<Result<RequestBody, BodyFailure>> {
   const length = Number(req.headers['content-length'] ?? 0);
   if (length > maxBytes) return Err('too_large');
@@ -112,9 +122,10 @@
   ) {
     return Ok({ head: Buffer.alloc(0), rest: undefined });
   }
-  const { head, ended, failed } = await readHead(req, Math.min(KEEP_BYTES, maxBytes));
-  if (failed) return Err('cancelled');
-  if (ended) return Ok({ head, rest: undefined });
+  const { head, end } = await readHead(req, Math.min(KEEP_BYTES, maxBytes), forMs);
+  if (end === 'failed') return Err('cancelled');
+  if (end === 'late') return Err('deadline');
+  if (end === 'whole') return Ok({ head, rest: undefined });
   if (head.length > maxBytes) return Err('too_large');
   return Ok({ head, rest: limited(joined(head, req), maxBytes) });
 }
--- a/src/transport/callers.ts
+++ b/src/transport/callers.ts
@@ -17,10 +17,11 @@
   statusOf,
   withForwarded,
 } from '../protocol/index.js';
-import { CallerId, RequestId, ServiceName, notRun } from '../state/index.js';
+import { CallerId, RequestId, ServiceName, notRun, unknown } from '../state/index.js';
 import type { Endpoint, Failure } from '../state/index.js';
 import type { Reply } from './answers.js';
 import { readBody, readHead } from './bodies.js';
+import type { BodyFailure } from './bodies.js';
 import type { EntryTask } from './entries.js';
 import type { Incoming } from './incomings.js';
 import { forwardedCall } from './forwards.js';
@@ -74,7 +75,21 @@
   return (ctx.req.socket.remoteAddress ?? '').replace(/^::ffff:/, '');
 }
 
-/** Reads a request without its body. */
+/** Why a request ends whose body could not be read. */
+function unread(
+  failure: BodyFailure,
+  requestId: RequestId | undefined,
+  maxBytes: number,
+): Malformed {
+  if (failure !== 'deadline') {
+    return { failure: notRun(failure), detail: `the body may have ${maxBytes} bytes` };
+  }
+  const detail = 'the body was not whole at the deadline';
+  // An earlier sending with the same id may have run.
+  return { failure: requestId === undefined ? notRun(failure) : unknown(failure), detail };
+}
+
+/** Reads a request and the head of its body. */
 async function readIncoming(
   ctx: Context,
   task: EntryTask,
@@ -96,10 +111,13 @@
   if (!leftMs.success) return bad(`${DEADLINE_HEADER} is malformed`);
   const forwarded = fromPeer ? forwardedCall(ctx.headers) : undefined;
   if (fromPeer && forwarded === undefined) return bad('the sender says too little');
-  const body = await readBody(ctx.req, service.maxRequestBytes);
+  const startedMs = performance.now();
+  const forMs = leftMs.data ?? service.deadlineMs;
+  const body = await readBody(ctx.req, service.maxRequestBytes, forMs);
   if (body.isErr()) {
-    const detail = `the body may have ${service.maxRequestBytes} bytes`;
-    return { failure: notRun(body.error), detail };
+    // What is left of the body would be taken for the next request.
+    ctx.set('connection', 'close');
+    return unread(body.error, requestId.data, service.maxRequestBytes);
   }
   const caller = forwarded?.caller ?? CallerId.parse(addressOf(ctx) || 'unknown');
   const headers = endToEnd(ctx.headers);
@@ -113,7 +131,7 @@
     body: body.value,
     caller,
     requestId: requestId.data,
-    leftMs: leftMs.data,
+    leftMs: Math.max(1, Math.floor(forMs - (performance.now() - startedMs))),
     forwarded,
   };
 }
