Bound the memory of answers by stores and other entry VMs

What callers could see: all entry VMs that watch a store end at the same moment, with all requests in flight, when the store, or something in its place, answers with bytes without end. A call's time was its only bound.

Evidence: two tests, red before. One client, boundedGot, now serves the store, hand-overs, probes (which had the bound by code of their own), the agent's store and headroom; the last two were not played.

Ruled out: shorter times (a second of a fast link is over 100 MB); reading as a stream in each client.

--- a/src/transport/backends.ts
+++ b/src/transport/backends.ts
@@ -6,7 +6,6 @@
 import http from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
-import got from 'got';
 import { z } from 'zod';
 import type { RunResult } from '../coordination/index.js';
 import { DEADLINE_HEADER, firstOf } from '../protocol/index.js';
@@ -14,6 +13,7 @@
 import { collect, drained } from './answers.js';
 import type { Answer } from './answers.js';
 import type { RequestBody } from './bodies.js';
+import { boundedGot } from './clients.js';
 import type { Clock } from './clocks.js';
 import { send } from './requests.js';
 import type { SendFailure } from './requests.js';
@@ -36,6 +36,8 @@
 /** Keeps no connection: one that has gone silent must not make its server look dead. */
 const PROBE_AGENT = new http.Agent({ keepAlive: false });
 
+const probe = boundedGot(MAX_HEALTH_BYTES);
+
 /** Path of a backend server's health endpoint. */
 const HEALTH_PATH = '/health';
 
@@ -160,17 +162,13 @@
   /** Asks the server on a new connection whether it is there and serving. */
   async health(): Promise<HealthState> {
     try {
-      const call = got(`http://${this.#address}${HEALTH_PATH}`, {
+      const res = await probe(`http://${this.#address}${HEALTH_PATH}`, {
         agent: { http: PROBE_AGENT },
         retry: { limit: 0 },
         timeout: { request: PROBE_TIMEOUT_MS },
         throwHttpErrors: false,
         responseType: 'json',
       });
-      call.on('downloadProgress', ({ transferred }) => {
-        if (transferred > MAX_HEALTH_BYTES) call.cancel();
-      });
-      const res = await call;
       const health = Health.safeParse(res.body);
       return health.success ? health.data.state : 'serving';
     } catch {
--- a/src/transport/beacons.ts
+++ b/src/transport/beacons.ts
@@ -2,7 +2,6 @@
 import dgram from 'node:dgram';
 import http from 'node:http';
 import { decode, encode } from '@msgpack/msgpack';
-import got from 'got';
 import type {
   FleetView,
   Heartbeat,
@@ -20,6 +19,7 @@
   revisionsToQuery,
 } from '../protocol/index.js';
 import type { Endpoint, Incarnation } from '../state/index.js';
+import { MAX_ANSWER_BYTES, boundedGot } from './clients.js';
 import type { Clock } from './clocks.js';
 import type { Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
@@ -44,7 +44,11 @@
 const FACTS_PATH = '/v1/facts';
 
 /** Keeps no connection: one that has gone silent would cost the time of a whole call. */
-const ASKING_AGENT = new http.Agent({ keepAlive: false });
+const asking = boundedGot(MAX_ANSWER_BYTES).extend({
+  agent: { http: new http.Agent({ keepAlive: false }) },
+  retry: { limit: 0 },
+  timeout: { request: FACTS_TIMEOUT_MS },
+});
 
 export interface BeaconOptions {
   readonly self: PeerRecord;
@@ -220,11 +224,8 @@
     this.#asking = true;
     const { view, peers, log, metrics, onMerged } = this.#options;
     try {
-      const body = await got(`http://${peer.peerAddress}${FACTS_PATH}?${revisionsToQuery(known)}`, {
-        agent: { http: ASKING_AGENT },
-        retry: { limit: 0 },
-        timeout: { request: FACTS_TIMEOUT_MS },
-      }).json();
+      const query = revisionsToQuery(known);
+      const body = await asking(`http://${peer.peerAddress}${FACTS_PATH}?${query}`).json();
       const snapshot = SnapshotMessage.parse(body);
       const before = view.plan?.version;
       const nowMs = this.#now();
--- a/src/transport/headroom.ts
+++ b/src/transport/headroom.ts
@@ -1,8 +1,8 @@
 /** Asks other entry VMs for headroom, over their peer listener. */
-import got from 'got';
 import { z } from 'zod';
 import type { EntryEffect, EntryEvent } from '../coordination/index.js';
 import { EntryVmId, FailureDomainId, ServiceName } from '../state/index.js';
+import { MAX_ANSWER_BYTES, boundedGot } from './clients.js';
 import type { Clock } from './clocks.js';
 
 /** The body of `POST /v1/grants`. */
@@ -20,6 +20,8 @@
 
 const GRANT_TIMEOUT_MS = 1_000;
 
+const asking = boundedGot(MAX_ANSWER_BYTES);
+
 export class GrantClient {
   readonly #self: EntryVmId;
 
@@ -39,7 +41,7 @@
     const askedMs = this.#clock().nowMs;
     const json: GrantRequest = { from: this.#self, service, domain, want };
     try {
-      const res = await got.post(`http://${to.peerAddress}/v1/grants`, {
+      const res = await asking.post(`http://${to.peerAddress}/v1/grants`, {
         json,
         responseType: 'json',
         retry: { limit: 0 },
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,6 +1,7 @@
 /** Sockets, timers and HTTP: turns the decisions' effects into I/O. */
 export * from './agents.js';
 export * from './callers.js';
+export * from './clients.js';
 export * from './clocks.js';
 export * from './entries.js';
 export * from './lines.js';
--- a/src/transport/platforms.ts
+++ b/src/transport/platforms.ts
@@ -1,5 +1,4 @@
 /** Client of the platform's object API. Every call, a waiting watch included, is budgeted. */
-import got from 'got';
 import type { Got } from 'got';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -17,6 +16,7 @@
   SETTINGS_ROOT,
 } from '../protocol/index.js';
 import type { SettingsPath } from '../state/index.js';
+import { MAX_ANSWER_BYTES, boundedGot } from './clients.js';
 import type { Clock } from './clocks.js';
 
 const CALL_TIMEOUT_MS = 3_000;
@@ -40,7 +40,7 @@
   constructor(url: string, callsPerSecond: number, clock: Clock) {
     this.#clock = clock;
     this.#budget = new TokenBucket(callsPerSecond, CALL_BURST, clock().nowMs);
-    this.#http = got.extend({
+    this.#http = boundedGot(MAX_ANSWER_BYTES).extend({
       prefixUrl: url,
       retry: { limit: 0 },
       throwHttpErrors: false,
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { FILLER, pour } from './pours.js';
 
 /** An object as the store hands it out. */
 export interface StoreObject {
@@ -23,10 +24,15 @@
   refuse: number | undefined;
   /** Takes calls and never answers. */
   silent: boolean;
+  /** Answers with bytes until the other end closes. */
+  endless: boolean;
   /** Tells watches of no change, and claims at their end that there was none; lists are true. */
   deaf: boolean;
 }
 
+/** The head of an answer whose body ends with its connection. */
+const ENDLESS_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n';
+
 const PREFIX = '/lovagesail/objects/';
 
 function send(res: ServerResponse, status: number, body: unknown): void {
@@ -41,7 +47,12 @@
 }
 
 export class FactStoreStandIn {
-  readonly faults: StoreFaults = { refuse: undefined, silent: false, deaf: false };
+  readonly faults: StoreFaults = {
+    refuse: undefined,
+    silent: false,
+    endless: false,
+    deaf: false,
+  };
 
   /** Calls by method and kind, in their order. */
   readonly calls: string[] = [];
@@ -126,7 +137,10 @@
     const [kind = '', name] = url.pathname.slice(PREFIX.length).split('/');
     this.calls.push(`${req.method} ${kind}`);
     if (this.faults.silent) return;
-    if (this.faults.refuse !== undefined) send(res, this.faults.refuse, {});
+    if (this.faults.endless) {
+      req.socket.write(ENDLESS_HEAD);
+      pour(req.socket, FILLER);
+    } else if (this.faults.refuse !== undefined) send(res, this.faults.refuse, {});
     else if (req.method === 'GET') await this.#read(url, kind, res);
     else await this.#write(await bodyOf(req), kind, name, res);
   }
