Let callers' requests begin by turns at lovagesail-entry

Cause: all requests that were read in a turn of the event loop began in it, and a turn accepts one connection: with many callers who press turns are long, and newcomers wait unseen. Now callers' requests begin by the Admissions of lovagesail-node, by rank, and what has no turn in time is refused and its connection closed. With an id the refusal says unknown and not not-run: an earlier sending may have run. Requests of other entry VMs were admitted there.

--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -34,6 +34,7 @@
   'closed_epoch',
   'connection_lost',
   'deadline',
+  'overloaded',
   'owner_gone',
   'truncated',
 ]);
--- a/src/transport/callers.ts
+++ b/src/transport/callers.ts
@@ -17,13 +17,15 @@
   statusOf,
   withForwarded,
 } from '../protocol/index.js';
-import { CallerId, RequestId, ServiceName, notRun, unknown } from '../state/index.js';
-import type { Endpoint, Failure } from '../state/index.js';
+import { CallerId, RANKS, RequestId, ServiceName, notRun, unknown } from '../state/index.js';
+import type { Endpoint, Failure, Rank } from '../state/index.js';
+import { Admissions } from './admissions.js';
 import type { Reply } from './answers.js';
 import { readBody, readHead } from './bodies.js';
 import type { BodyFailure } from './bodies.js';
+import { systemClock } from './clocks.js';
 import type { EntryTask } from './entries.js';
-import type { Incoming } from './incomings.js';
+import type { Accepted, Incoming } from './incomings.js';
 import { forwardedCall } from './forwards.js';
 import { GrantRequest } from './headroom.js';
 import type { EntryMetrics } from './metrics.js';
@@ -136,19 +138,62 @@
   };
 }
 
+function rankOf(task: EntryTask, { service: name, method, url }: Incoming): Rank | undefined {
+  const service = task.machine.view.service(name);
+  return service && classify(service, method, url.split('?')[0] ?? url).rank;
+}
+
+/** The end of a request for which the processor has no time. */
+function refusal({ requestId }: Incoming): Failure {
+  // An earlier sending with the same id may have run.
+  return requestId === undefined ? notRun('overloaded') : unknown('overloaded');
+}
+
+/** Takes a caller's request in when it is its turn. @returns the failure of one that has none in time. */
+function acceptInTurn(
+  ctx: Context,
+  incoming: Incoming,
+  task: EntryTask,
+  admissions: Admissions,
+): Promise<Accepted | Failure> {
+  const priority = RANKS.indexOf(rankOf(task, incoming) ?? 'interactive');
+  return new Promise((resolve) => {
+    if (!admissions.admits(priority)) resolve(refusal(incoming));
+    else {
+      admissions.admit(ctx.req, priority, ({ type, waitedMs }) => {
+        if (type === 'left') resolve(notRun('cancelled'));
+        else if (type === 'late') resolve(refusal(incoming));
+        else resolve(task.accept({ ...incoming, leftMs: Math.max(1, incoming.leftMs - waitedMs) }));
+      });
+    }
+  });
+}
+
+/** @param admissions - by which callers' requests begin; other entry VMs' were admitted there. */
 async function serveCall(
   ctx: Context,
   task: EntryTask,
   metrics: EntryMetrics,
-  fromPeer: boolean,
+  admissions: Admissions | undefined,
 ): Promise<void> {
   const startMs = performance.now();
+  const fromPeer = admissions === undefined;
   const incoming = await readIncoming(ctx, task, fromPeer);
   if ('failure' in incoming) {
     problem(ctx, incoming.failure, incoming.detail);
     return;
   }
-  const accepted = task.accept(incoming);
+  const accepted = fromPeer
+    ? task.accept(incoming)
+    : await acceptInTurn(ctx, incoming, task, admissions);
+  if ('outcome' in accepted) {
+    // Requests on open connections are read before new callers are accepted.
+    ctx.set('connection', 'close');
+    problem(ctx, accepted, 'the entry VM has no time for the request');
+    task.noteFailure(incoming.service, accepted);
+    note(incoming, { type: 'failure', failure: accepted }, task, metrics, startMs);
+    return;
+  }
   ctx.res.once('close', () => {
     if (!ctx.res.writableFinished) accepted.cancel();
   });
@@ -167,10 +212,8 @@
   metrics: EntryMetrics,
   startMs: number,
 ): void {
-  const { service: name, method, url } = incoming;
-  const service = task.machine.view.service(name);
-  const rank =
-    service === undefined ? 'unknown' : classify(service, method, url.split('?')[0] ?? url).rank;
+  const { service: name } = incoming;
+  const rank = rankOf(task, incoming) ?? 'unknown';
   const outcome = reply.type === 'answer' ? 'answered' : outcomeText(reply.failure);
   metrics.requestEnded(name, rank, outcome, performance.now() - startMs);
   if (reply.type === 'failure') metrics.requestFailed(name, reply.failure.code);
@@ -197,6 +240,7 @@
 
 /** The application for callers. */
 export function callerApp(task: EntryTask, metrics: EntryMetrics): Koa {
+  const admissions = new Admissions(systemClock);
   const router = new Router();
   router.get('/livez', (ctx) => {
     ctx.body = 'ok\n';
@@ -210,7 +254,7 @@
     ctx.type = metrics.registry.contentType;
   });
   router.get('/v1/lookup/:service', (ctx) => serveLookup(ctx as Context, task, metrics));
-  return appOf(router, (ctx) => serveCall(ctx, task, metrics, false));
+  return appOf(router, (ctx) => serveCall(ctx, task, metrics, admissions));
 }
 
 /** The application for other entry VMs. It trusts what its callers say: keep it off their network. */
@@ -222,7 +266,7 @@
     if (!ask.success) ctx.throw(400);
     else ctx.body = { slots: task.grant(ask.data) };
   });
-  return appOf(router, (ctx) => serveCall(ctx, task, metrics, true));
+  return appOf(router, (ctx) => serveCall(ctx, task, metrics, undefined));
 }
 
 function parseJson(text: string): unknown {
--- a/src/transport/entries.ts
+++ b/src/transport/entries.ts
@@ -13,6 +13,7 @@
 import { Incarnation } from '../state/index.js';
 import type {
   BackendServerId,
+  Failure,
   KeptAnswer,
   MemberPhase,
   ReplicaItem,
@@ -177,6 +178,12 @@
     };
   }
 
+  /** Logs that a request ends without an answer. */
+  noteFailure(service: ServiceName | undefined, failure: Failure): void {
+    const event = failure.outcome === 'unknown' ? 'requestUnknown' : 'requestNotRun';
+    this.#log(event, { service, code: failure.code });
+  }
+
   /** Grants headroom to another entry VM. */
   grant(ask: Omit<Extract<EntryEvent, { type: 'grantAsked' }>, 'type' | 'askId'>): number {
     let granted = 0;
@@ -329,9 +336,7 @@
     if (failure.code === 'backend_crashed') {
       await Promise.race([this.#crashReport, pause(CRASH_REPORT_WAIT_MS)]);
     }
-    const service = this.#exchanges.get(ticket)?.call.service;
-    const event = failure.outcome === 'unknown' ? 'requestUnknown' : 'requestNotRun';
-    this.#log(event, { service, code: failure.code });
+    this.noteFailure(this.#exchanges.get(ticket)?.call.service, failure);
     this.#settle(ticket, { type: 'failure', failure });
   }
 
--- a/src/transport/incomings.ts
+++ b/src/transport/incomings.ts
@@ -14,7 +14,8 @@
   readonly body: RequestBody;
   readonly caller: CallerId;
   readonly requestId: RequestId | undefined;
-  readonly leftMs: number | undefined;
+  /** Time left when its body had been read, in milliseconds. */
+  readonly leftMs: number;
   /** What the entry VM says that sent it; undefined for a caller's own request. */
   readonly forwarded: ForwardedCall | undefined;
 }
