--- a/src/transport/tests/endless.test.ts
+++ b/src/transport/tests/endless.test.ts
@@ -1,11 +1,16 @@
-/** Backend servers that send bytes without end. */
+/** Backend servers, a store and other entry VMs that send bytes without end. */
 import http from 'node:http';
 import { expect } from 'chai';
 import { BackendStandIn } from '../../../standins/backends.js';
 import { peakOf } from '../../../standins/memories.js';
-import { Endpoint } from '../../state/index.js';
+import { PouringStandIn } from '../../../standins/pours.js';
+import type { EntryEvent } from '../../coordination/index.js';
+import { Endpoint, FailureDomainId, ServiceName, SettingsPath } from '../../state/index.js';
+import type { EntryVmId, MemberRecord } from '../../state/index.js';
 import { BackendPool } from '../backends.js';
 import { systemClock } from '../clocks.js';
+import { GrantClient } from '../headroom.js';
+import { PlatformClient } from '../platforms.js';
 import { fleetOf, request, until } from './fleets.js';
 import type { FleetVm } from './fleets.js';
 
@@ -83,3 +88,34 @@
   }
   server.close();
 });
+
+// Guards against an agent that runs out of memory while its store sends bytes without end.
+it("answers without end of an agent's store are given up", async () => {
+  const store = new PouringStandIn();
+  const client = new PlatformClient(`http://${await store.start()}`, 50, systemClock);
+  const path = SettingsPath.parse('fleet');
+  const peak = peakOf();
+  const read = await client.read(path);
+  const written = await client.write(path, {}, 0);
+  expect(peak()).to.be.below(MOST_BYTES);
+  expect([read.unwrapErr(), written.unwrapErr()]).to.deep.equal(['store_down', 'lost']);
+  store.stop();
+});
+
+// The same for an entry that asks another one for headroom.
+it('an answer without end to a question for headroom grants nothing', async () => {
+  const entry = new PouringStandIn();
+  const client = new GrantClient('vm-1' as EntryVmId, systemClock);
+  const events: EntryEvent[] = [];
+  const to = { id: 'vm-2', peerAddress: await entry.start() } as MemberRecord;
+  const service = ServiceName.parse('shop');
+  const domain = FailureDomainId.parse('a');
+  const peak = peakOf();
+  await client.ask({ type: 'askGrant', to, service, domain, want: 1 }, (event) => {
+    events.push(event);
+  });
+  expect(peak()).to.be.below(MOST_BYTES);
+  expect(events).to.have.length(1);
+  expect(events[0]).to.include({ type: 'grantReceived', slots: 0 });
+  entry.stop();
+});
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { FILLER, pour } from './pours.js';
+import { ENDLESS_HEAD, FILLER, pour } from './pours.js';
 
 /** An object as the store hands it out. */
 export interface StoreObject {
@@ -30,9 +30,6 @@
   deaf: boolean;
 }
 
-/** The head of an answer whose body ends with its connection. */
-const ENDLESS_HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n';
-
 const PREFIX = '/lovagesail/objects/';
 
 function send(res: ServerResponse, status: number, body: unknown): void {
