Tell a reset that comes with the last bytes from an answer's end

Callers were given a part of an answer as if it were whole: 200, the server's own signature, no length, an ordinary end.

Cause: libuv reports an end, and not the error, when a read was partial and the other side hung up at the same time. The answer has no length, so an end makes it whole. A socket that was reset has no peer address any more; one that was closed has: it is asked for when the end is reported.

--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -108,6 +108,10 @@
         socket.on('error', () => {
           this.#broken = true;
         });
+        // A reset that comes with the last bytes is reported as an end; its socket has no peer any more.
+        socket.once('end', () => {
+          if (socket.remoteAddress === undefined) this.#broken = true;
+        });
         socket.once('error', fail);
         socket.once('connect', () => {
           clearTimeout(timer);
