Do not count requests whose every run has no end as cut off by a planned stop

The trace: vm-0 was told to stop at 30.33 s, the request was sent 1.9 s later on a kept connection to s-1 that had gone silent 0.05 s before, and 0.08 s after that to s-2, which answers 'in crumbs' without end since 29.96 s. It was at it when the grace was over at 33.67 s. The users' rule does not count a request sent within 3 s of the signal at which its server is still at work in the last sixth of the grace.

The check leaves out requests all of whose runs answer without end; a request that any server could have ended is counted as before.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -49,6 +49,8 @@
 export interface RunPlace {
   /** What was done to the server's connections. */
   readonly disturbances: readonly Disturbance[];
+  /** Whether the server's answer has no end. */
+  readonly endless: boolean;
 }
 
 export interface Observed {
@@ -88,11 +90,15 @@
   });
 }
 
-/** No request that a server has begun to run is cut off by a planned stop, if the server was reached. */
+/**
+ * No request that a server has begun to run is cut off by a planned stop, if the server was reached. One
+ * whose every run has no end outlasts any grace.
+ */
 function checkStops(observed: Observed): string[] {
   return observed.attempts.flatMap(({ id, node, sentMs, endedMs, status }) => {
     const runs = observed.runs.get(id);
     if (status !== undefined || runs === undefined) return [];
+    if (runs.every(({ endless }) => endless)) return [];
     const near = [
       ...node.disturbances,
       ...observed.storeDisturbances,
--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -160,9 +160,10 @@
     this.#allServers.forEach(({ standIn, disturbances }) =>
       standIn.runs
         .filter(({ answer }) => answer !== 'rejected')
-        .forEach(({ requestId }) =>
-          runs.set(requestId, [...(runs.get(requestId) ?? []), { disturbances }]),
-        ),
+        .forEach(({ requestId, answer }) => {
+          const place = { disturbances, endless: answer.startsWith('endless') };
+          runs.set(requestId, [...(runs.get(requestId) ?? []), place]);
+        }),
     );
     const broken = check({
       attempts: this.#attempts,
