Accept connections between requests that begin at lovagesail-entry

Cause: a turn of the event loop accepts one connection, and at least one request began in each. What a request starts, the call to its server above all, makes the next turns long, so that a slow processor accepted some 22 connections a second, while 150 callers whose connection was closed come back every two seconds. Now, while turns accept connections, further turns go by without work, for as long as the requests before took to begin. Work keeps a third of the time at the least. lovagesail-node does not tell its Admissions of connections, and goes on as before.

Evidence: admissions.test.ts, on a passed-in clock, is red before (60 connections accepted in 355 ms of that clock, bound 126).

--- a/src/transport/admissions.ts
+++ b/src/transport/admissions.ts
@@ -27,6 +27,9 @@
   /** Requests that begin to wait in this turn. */
   #entering = 0;
 
+  /** Connections accepted so far. */
+  #connections = 0;
+
   #pumping = false;
 
   constructor(clock: Clock) {
@@ -58,35 +61,59 @@
     await this.#pump();
   }
 
+  /** Notes that a connection was accepted. */
+  connected(): void {
+    this.#connections += 1;
+  }
+
   async #pump(): Promise<void> {
     if (this.#pumping) return;
     this.#pumping = true;
     let steppedMs = this.#now();
+    let stepMs = 0;
     while (this.#arrivals.size > 0) {
-      await turn();
-      steppedMs = this.#step(steppedMs);
+      const restMs = await this.#rest(steppedMs, stepMs);
+      const startedMs = this.#now();
+      const begun = this.#step(startedMs + restMs);
+      const nowMs = this.#now();
+      this.#arrivals.turned(begun, nowMs - steppedMs);
+      stepMs = nowMs - startedMs;
+      steppedMs = nowMs;
     }
     this.#pumping = false;
   }
 
+  /**
+   * Gives the event loop its turn, and more turns while they accept connections, for as long as the
+   * step before took at most: what a step starts makes turns long, and each accepts one connection.
+   *
+   * @param steppedMs - when the step before ended, monotonic, in milliseconds.
+   * @returns how long the first turn took.
+   */
+  async #rest(steppedMs: number, stepMs: number): Promise<number> {
+    let before = this.#connections;
+    await turn();
+    const turnedMs = this.#now();
+    while (this.#connections > before && this.#now() < turnedMs + stepMs) {
+      before = this.#connections;
+      await turn();
+    }
+    return turnedMs - steppedMs;
+  }
+
   /**
    * Lets requests begin for as long as the rest of the turn took, one at least: reading and refusing
    * never take the whole processor from work that is served.
    *
-   * @param steppedMs - when the step before ended, monotonic, in milliseconds.
-   * @returns when this one ended.
+   * @returns how many began.
    */
-  #step(steppedMs: number): number {
-    const startedMs = this.#now();
-    const endMs = startedMs + (startedMs - steppedMs);
+  #step(endMs: number): number {
     let begun = 0;
     do {
       if (!this.#beginNext()) break;
       begun += 1;
     } while (this.#now() < endMs);
-    const nowMs = this.#now();
-    this.#arrivals.turned(begun, nowMs - steppedMs);
-    return nowMs;
+    return begun;
   }
 
   /** Lets one request begin, and ends all that need no more work. False when none began. */
--- a/src/transport/callers.ts
+++ b/src/transport/callers.ts
@@ -38,6 +38,9 @@
 
 const MAX_GRANT_BYTES = 4_096;
 
+/** Event of an application whose server has accepted a connection. */
+const CONNECTION_EVENT = 'connection';
+
 const DeadlineMs = z.coerce.number().int().min(1).max(3_600_000);
 
 /** Why a request is malformed, as an RFC 9457 problem. */
@@ -254,7 +257,9 @@
     ctx.type = metrics.registry.contentType;
   });
   router.get('/v1/lookup/:service', (ctx) => serveLookup(ctx as Context, task, metrics));
-  return appOf(router, (ctx) => serveCall(ctx, task, metrics, admissions));
+  const app = appOf(router, (ctx) => serveCall(ctx, task, metrics, admissions));
+  app.on(CONNECTION_EVENT, () => admissions.connected());
+  return app;
 }
 
 /** The application for other entry VMs. It trusts what its callers say: keep it off their network. */
@@ -295,6 +300,7 @@
   const { host, port } = splitEndpoint(address);
   return new Promise((resolve, reject) => {
     const server = app.listen(port, host, () => resolve(server));
+    server.on('connection', () => app.emit(CONNECTION_EVENT));
     server.once('error', reject);
   });
 }
