Tell a reset that comes with the last bytes from an answer's end at lovagesail-entry

Cause: the event loop reports an end when a reset comes with the last bytes, and an answer that states no length is whole when its connection ends. The socket has no peer any more, but the HTTP client reads the peer early and the socket keeps what was read first: it is hidden until the end, and asked for then. Only answers without a length.

--- a/src/transport/requests.ts
+++ b/src/transport/requests.ts
@@ -1,6 +1,7 @@
 /** One HTTP request on a connection of its own keeping, and how far it got. */
 import http from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import type net from 'node:net';
 import type { Readable } from 'node:stream';
 import got from 'got';
 import type { RequestBody } from './bodies.js';
@@ -36,6 +37,35 @@
 /** Methods of which got ends the request by itself; for others it waits for a body. */
 const BODILESS_METHODS = new Set(['GET', 'HEAD']);
 
+/** Whether a response states its length; without, it ends with its connection. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+const PEER = 'remoteAddress';
+
+/** Lets nobody read a connection's peer before its end: a socket keeps what is read first. */
+function hidePeer(socket: net.Socket): void {
+  Object.defineProperty(socket, PEER, { configurable: true, value: undefined });
+}
+
+/** Whether a connection that has ended was reset: then it has no peer any more. */
+function wasReset(socket: net.Socket): boolean {
+  Reflect.deleteProperty(socket, PEER);
+  return socket[PEER] === undefined;
+}
+
+/** Lets a body that ends with its connection fail when that was reset. */
+function failOnReset(body: Readable, socket: net.Socket): void {
+  const onEnd = (): void => {
+    // A reset that comes with the last bytes is reported as an end.
+    if (wasReset(socket)) body.destroy(new Error('connection was reset'));
+  };
+  // Before the HTTP client, which takes what has come for a whole answer.
+  socket.prependListener('end', onEnd);
+  body.once('close', () => socket.off('end', onEnd));
+}
+
 /** Sends a request. Its response is passed on untouched: no redirects, retries or decoding. */
 export function send(sending: Sending, handlers: SendHandlers): Sent {
   const { body } = sending;
@@ -61,6 +91,7 @@
   });
   req.on('request', (raw: http.ClientRequest) => {
     raw.on('socket', (socket) => {
+      hidePeer(socket);
       if (raw.reusedSocket || !socket.connecting) connected = true;
       else
         socket.once('connect', () => {
@@ -69,6 +100,7 @@
     });
   });
   req.on('response', (res: IncomingMessage) => {
+    if (!isFramed(res)) failOnReset(req, res.socket);
     settle(() => handlers.onResponse(res, req));
   });
   req.on('error', () => {
