--- a/src/transport/admissions.ts
+++ b/src/transport/admissions.ts
@@ -61,7 +61,7 @@
     await this.#pump();
   }
 
-  /** Notes that a connection was accepted. */
+  /** Notes that a connection was accepted. Whoever does not tell of connections gets no turns for them. */
   connected(): void {
     this.#connections += 1;
   }
@@ -88,6 +88,7 @@
    * step before took at most: what a step starts makes turns long, and each accepts one connection.
    *
    * @param steppedMs - when the step before ended, monotonic, in milliseconds.
+   * @param stepMs - how long that step took.
    * @returns how long the first turn took.
    */
   async #rest(steppedMs: number, stepMs: number): Promise<number> {
@@ -105,6 +106,7 @@
    * Lets requests begin for as long as the rest of the turn took, one at least: reading and refusing
    * never take the whole processor from work that is served.
    *
+   * @param endMs - when no more begin, monotonic, in milliseconds.
    * @returns how many began.
    */
   #step(endMs: number): number {
