Reproduce refusals of a few requests after one long turn

Callers of an entry VM are refused as overloaded, not run, though its processor is free: after one long turn (a stall, or another process on the core) the time that a request takes to begin is overestimated until others have begun, and of six prices that come together the last is refused.

Ruled out: the turns that accept connections, since it is there before them.

--- a/src/coordination/tests/arrivals.test.ts
+++ b/src/coordination/tests/arrivals.test.ts
@@ -75,3 +75,11 @@
   arrivals.turned(1, 10_000);
   expect(arrivals.admits(3)).to.equal(true);
 });
+
+// Guards against refusals after a stall: one long turn made callers' few requests look like overload.
+it('one long turn does not refuse a few requests that come together after it', () => {
+  const arrivals = new Arrivals<string>();
+  for (let i = 0; i < 20; i += 1) arrivals.turned(1, 2);
+  arrivals.turned(1, 100);
+  expect(arrivals.admits(1, 5)).to.equal(true);
+});
