--- a/standins/processors.ts
+++ b/standins/processors.ts
@@ -23,3 +23,16 @@
   const end = coreMs() + ms;
   while (coreMs() < end);
 }
+
+/** Takes as much of the event loop's time as all else does. @returns how to end it. */
+export function halveProcessor(): () => void {
+  let endedMs = coreMs();
+  let next: NodeJS.Immediate | undefined;
+  const take = (): void => {
+    block(coreMs() - endedMs);
+    endedMs = coreMs();
+    next = setImmediate(take);
+  };
+  take();
+  return () => clearImmediate(next);
+}
