Log the crash of a server that lost a request, with the fingerprint of the content

After a lost answer the node now connects once to the server; where the host refuses and the server has not announced that it leaves, 509 names request, server, its process and the fingerprint of host, method, path and body. 404 carries entryVms; two counters say how often.

--- a/src/transport/exchanges.ts
+++ b/src/transport/exchanges.ts
@@ -3,7 +3,8 @@
 import { NOT_EXECUTED_STATUSES } from '../coordination/index.js';
 import type { AttemptOutcome, FleetView, Placement, HealthOutcome } from '../coordination/index.js';
 import type { CallerFields, Dialect, ServerFields } from '../protocol/index.js';
-import type { BackendServerId, RoutePlan, ServiceName } from '../state/index.js';
+import type { BackendServerId, Fingerprint, RoutePlan, ServiceName } from '../state/index.js';
+import { MAX_BUFFERED_BYTES, fingerprintOf } from './requestbodies.js';
 import type { UpstreamCall, UpstreamEnd, UpstreamResponse } from './upstreams.js';
 
 /** One attempt to send a request to a backend server. */
@@ -24,6 +25,8 @@
   readonly body: Buffer | undefined;
   /** When the request's header was read, monotonic, in milliseconds. */
   readonly arrivedMs: number;
+  /** Set when it is first needed. */
+  fingerprint: Fingerprint | undefined;
 }
 
 /** A caller's request from its admission to its final state. */
@@ -58,6 +61,15 @@
   };
 }
 
+/** Returns the fingerprint of a request's content, in which the host is part of the path. */
+export function fingerprintOfArrival(arrival: Arrival): Fingerprint {
+  const { req, body } = arrival;
+  const url = `${req.headers.host ?? ''}${req.url ?? '/'}`;
+  const head = body?.subarray(0, MAX_BUFFERED_BYTES) ?? Buffer.alloc(0);
+  arrival.fingerprint ??= fingerprintOf(req.method ?? 'GET', url, { head, rest: undefined });
+  return arrival.fingerprint;
+}
+
 /** Finds a request's route, by its host with the port first, then without it. */
 export function findRoute(view: FleetView, req: IncomingMessage): RoutePlan | undefined {
   const host = (req.headers.host ?? '').toLowerCase();
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -84,6 +84,11 @@
   serverReached: { id: 506, level: 'info', text: 'backend server reachable again' },
   serverMisdirected: { id: 507, level: 'info', text: 'address belongs to another backend server' },
   answerLost: { id: 508, level: 'info', text: 'no whole response to a request that was sent' },
+  serverCrashed: {
+    id: 509,
+    level: 'warn',
+    text: 'backend server refuses connections after it lost a request',
+  },
   changeAccepted: { id: 601, level: 'info', text: 'change of settings accepted' },
   changeRefused: { id: 602, level: 'warn', text: 'change of settings refused' },
 } as const satisfies Record<string, LogEvent>;
--- a/src/transport/nodemetrics.ts
+++ b/src/transport/nodemetrics.ts
@@ -34,6 +34,19 @@
     registers: [this.registry],
   });
 
+  readonly #retries = new Counter({
+    name: 'lovagesail_retries_total',
+    help: 'Retries weighed, by whether the retry budget allowed them',
+    labelNames: ['allowed'] as const,
+    registers: [this.registry],
+  });
+
+  readonly #serverCrashes = new Counter({
+    name: 'lovagesail_server_crashes_total',
+    help: 'Requests lost by backend servers that had crashed',
+    registers: [this.registry],
+  });
+
   readonly #planVersion = new Gauge({
     name: 'lovagesail_plan_version',
     help: 'Version of the plan in force',
@@ -92,6 +105,14 @@
     this.#busy.set(ratio);
   }
 
+  retry(allowed: boolean): void {
+    this.#retries.inc({ allowed: String(allowed) });
+  }
+
+  serverCrashed(): void {
+    this.#serverCrashes.inc();
+  }
+
   /** @param nowMs - monotonic time in milliseconds. */
   countStoreCall(result: string, nowMs: number): void {
     this.#storeCalls.inc({ result });
--- a/src/transport/pools.ts
+++ b/src/transport/pools.ts
@@ -39,6 +39,8 @@
 
   readonly #probeTimers = new Map<BackendServerId, NodeJS.Timeout>();
 
+  readonly #crashChecks = new Map<BackendServerId, Promise<boolean>>();
+
   constructor(options: UpstreamPoolOptions) {
     this.#options = options;
   }
@@ -71,6 +73,26 @@
     this.#scheduleProbe(id, INITIAL_BACKOFF_MS);
   }
 
+  /**
+   * Whether a server that lost a request has crashed: it refuses connections although it has not announced
+   * that it leaves. A server that is only cut off does not answer at all.
+   */
+  hasCrashed(server: KnownServer): Promise<boolean> {
+    const { id } = server.record;
+    const pending = this.#crashChecks.get(id);
+    if (pending !== undefined) return pending;
+    const check = this.get(server)
+      .probe()
+      .then((result) => {
+        const known = this.#options.view.server(id)?.record;
+        const leaving = known === undefined || known.draining;
+        return result === 'refused' && !leaving;
+      })
+      .finally(() => this.#crashChecks.delete(id));
+    this.#crashChecks.set(id, check);
+    return check;
+  }
+
   /** Removes a server that is no longer registered, with its connections and load figures. */
   remove(id: BackendServerId): void {
     clearTimeout(this.#probeTimers.get(id));
@@ -98,7 +120,8 @@
       this.remove(id);
       return;
     }
-    const reachable = this.#options.view.isUsable(id) && (await this.get(server).probe());
+    const reachable =
+      this.#options.view.isUsable(id) && (await this.get(server).probe()) === 'reached';
     if (!this.#probeTimers.has(id)) return;
     if (!reachable) {
       this.#scheduleProbe(id, Math.min(MAX_BACKOFF_MS, backoffMs * 2));
--- a/src/transport/requestproxies.ts
+++ b/src/transport/requestproxies.ts
@@ -18,6 +18,7 @@
 import { readWholeBody } from './requestbodies.js';
 import { writeFailure, writeResponse } from './callerresponses.js';
 import type { Clock } from './clocks.js';
+import { CrashGuard } from './crashguards.js';
 import { classifyEnd, createExchange, findRoute, isServerFailure, toRunEnd } from './exchanges.js';
 import type { Arrival, Attempt, Exchange } from './exchanges.js';
 import type { LogDetails, Logger } from './logs.js';
@@ -65,6 +66,8 @@
 
   readonly #admissionController: AdmissionController;
 
+  readonly #crashGuard: CrashGuard;
+
   #inFlight = 0;
 
   #placementTimer: NodeJS.Timeout | undefined;
@@ -72,6 +75,7 @@
   constructor(options: RequestProxyOptions) {
     this.#options = options;
     this.#admissionController = new AdmissionController(options.clock);
+    this.#crashGuard = new CrashGuard(options);
   }
 
   get inFlight(): number {
@@ -118,7 +122,9 @@
       if (bodyRead.type === 'late') refuse('deadline', { leftMs });
       return;
     }
-    const arrival = { req, res, fields, route, service, body: bodyRead.body, arrivedMs };
+    const { body } = bodyRead;
+    const fingerprint = undefined;
+    const arrival = { req, res, fields, route, service, body, arrivedMs, fingerprint };
     if (this.#admissionController.canAdmit(route.priority)) {
       await this.#admissionController.admit(req, route.priority, (admission) =>
         this.#onAdmission(arrival, admission),
@@ -298,11 +304,14 @@
   /** Retries a request if the retry budget allows it. */
   #retry(exchange: Exchange, reason: string): boolean {
     const { service, fields } = exchange;
-    const allowed = this.#options.budget.trySpend(service, this.#options.entryVms(), this.#now());
+    const entryVms = this.#options.entryVms();
+    const allowed = this.#options.budget.trySpend(service, entryVms, this.#now());
+    this.#options.metrics.retry(allowed);
     this.#options.log('requestRepeated', {
       request: fields.requestId,
       reason,
       allowed,
+      entryVms,
       tries: exchange.tries,
     });
     if (allowed) this.#place(exchange);
@@ -323,6 +332,7 @@
     if (end.type === 'lost') {
       const request = exchange.fields.requestId;
       this.#options.log('answerLost', { request, server: record.id, reason: end.reason });
+      this.#crashGuard.checkServer(exchange, attempt.placement.server);
     }
     if (result.type === 'unreachable' || result.type === 'rejected') exchange.runs -= 1;
     if (!exchange.ended) this.#applyVerdict(exchange, result, end);
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -32,6 +32,9 @@
   /** The request was sent at least in part, and no complete response arrived. */
   | { readonly type: 'lost'; readonly reason: string };
 
+/** Result of a connect without a request. `refused`: the host answers, and no process listens there. */
+export type ProbeResult = 'reached' | 'refused' | 'unreachable';
+
 /** A request in flight. */
 export interface UpstreamCall {
   /** Cancels the request and resets its connection. `onEnd` is not called. */
@@ -175,21 +178,23 @@
     return call;
   }
 
-  /** Checks whether a connection to the server succeeds. No request is sent. */
-  async probe(): Promise<boolean> {
+  /** Opens a connection to the server and closes it. No request is sent. */
+  async probe(): Promise<ProbeResult> {
     const { hostname, port } = new URL(`http://${this.#address}`);
     const startedMs = this.#options.nowMs();
     return new Promise((resolve) => {
       const socket = net.connect({ host: hostname, port: Number(port) });
-      const end = (reached: boolean) => (): void => {
+      const end = (result: ProbeResult): void => {
         socket.destroy();
-        resolve(reached);
+        resolve(result);
       };
-      socket.setTimeout(this.#options.connectTimeoutMs, end(false));
-      socket.once('error', end(false));
+      socket.setTimeout(this.#options.connectTimeoutMs, () => end('unreachable'));
+      socket.once('error', ({ code }: NodeJS.ErrnoException) =>
+        end(code === 'ECONNREFUSED' ? 'refused' : 'unreachable'),
+      );
       socket.once('connect', () => {
         this.#options.onConnected(this.#options.nowMs() - startedMs);
-        end(true)();
+        end('reached');
       });
     });
   }
