--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -127,6 +127,12 @@
   /** Number of connections accepted since the start. */
   connections = 0;
 
+  /** Whether a request ends the process: all connections are reset and new ones are refused. */
+  crashesOn: (run: PlatformRun) => boolean = () => false;
+
+  /** Called after a request has ended the process. */
+  onCrash: () => void = () => undefined;
+
   readonly #sockets = new Set<Socket>();
 
   readonly #server: Server = net.createServer((socket) => this.#accept(socket));
@@ -149,6 +155,12 @@
     this.#server.close();
   }
 
+  #crash(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.onCrash();
+  }
+
   #accept(socket: Socket): void {
     this.connections += 1;
     this.#sockets.add(socket);
@@ -176,7 +188,12 @@
       running = true;
       const requestId = headers['request-id'] ?? '';
       const response = this.responses.shift() ?? 'whole';
-      this.runs.push({ requestId, line, headers, body, response });
+      const run = { requestId, line, headers, body, response };
+      this.runs.push(run);
+      if (this.crashesOn(run)) {
+        this.#crash();
+        return;
+      }
       if (response === 'silent') return;
       setTimeout(() => {
         running = false;
