Take no share of the retry burst before the other entry VMs are known

An entry VM divides the burst by the entry VMs that it knows. One that has not read their list, because the store is away or turns it away since the start, knows itself and the few that send it heartbeats, and takes the whole burst; several such together exceed the budget.

--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -71,6 +71,8 @@
 
   readonly #peers = new Map<EntryVmId, KnownPeer>();
 
+  #listed = false;
+
   constructor(self: PeerRecord) {
     this.#self = self;
   }
@@ -80,6 +82,20 @@
     return [...this.#peers.values()].map((peer) => peer.record);
   }
 
+  /**
+   * Number of entry VMs that may be running, this one included, among which shared budgets are divided;
+   * `Infinity` until the store has listed them, since heartbeats alone may show only a few.
+   */
+  get sharingBudgets(): number {
+    return this.#listed ? this.#peers.size + 1 : Infinity;
+  }
+
+  /** Adds the store's list of entry VMs. */
+  addList(records: readonly PeerRecord[]): void {
+    this.#listed = true;
+    records.forEach((record) => this.addRecord(record));
+  }
+
   /** Adds or updates the record of an entry VM. Does not affect its liveness. */
   addRecord(record: PeerRecord): void {
     if (record.id === this.#self.id) return;
--- a/src/coordination/retrybudgets.ts
+++ b/src/coordination/retrybudgets.ts
@@ -39,7 +39,8 @@
   /**
    * Takes one retry if the budget allows it.
    *
-   * @param entryVms - entry VMs that may be retrying requests, this one included.
+   * @param entryVms - entry VMs that may be retrying requests, this one included; `Infinity` for no share of
+   *   the burst.
    */
   trySpend(service: ServiceName, entryVms: number, nowMs: number): boolean {
     const { ratio, burst, windowMs } = this.#limits;
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -169,7 +169,7 @@
       clock,
       log,
       metrics: this.#metrics,
-      entryVms: () => this.#peers.records.length + 1,
+      entryVms: () => this.#peers.sharingBudgets,
       stopping: () => this.#stopping,
       stopDeadlineMs: () => this.#stopDeadlineMs,
     });
@@ -344,7 +344,7 @@
     for (;;) {
       const written = await store.announce(this.#self);
       const listed = await store.peers();
-      if (listed.isOk()) listed.value.forEach((record) => this.#peers.addRecord(record));
+      if (listed.isOk()) this.#peers.addList(listed.value);
       if ((written.isOk() && listed.isOk()) || this.#stopping) return;
       await pause(ANNOUNCE_RETRY_MS * (0.5 + Math.random()));
     }
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -22,6 +22,8 @@
 export interface StoreFaults {
   /** Responds to every request with this status. */
   refuse: number | undefined;
+  /** Responds to requests for this kind with 503. */
+  refusedKind: string | undefined;
   /** Accepts requests and never responds. */
   silent: boolean;
   /** Sends response bytes until the peer closes. */
@@ -46,6 +48,7 @@
 export class FactStoreStandIn {
   readonly faults: StoreFaults = {
     refuse: undefined,
+    refusedKind: undefined,
     silent: false,
     endlessResponse: false,
     deaf: false,
@@ -138,6 +141,7 @@
       req.socket.write(ENDLESS_RESPONSE_HEAD);
       writeEndlessly(req.socket, FILLER);
     } else if (this.faults.refuse !== undefined) sendJson(res, this.faults.refuse, {});
+    else if (kind === this.faults.refusedKind) sendJson(res, 503, {});
     else if (req.method === 'GET') await this.#read(url, kind, res);
     else await this.#write(await readObject(req), kind, name, res);
   }
