--- a/src/state/ids.ts
+++ b/src/state/ids.ts
@@ -1,4 +1,5 @@
 /** Branded identifiers. Each name is both a schema and its inferred type. */
+import ipaddr from 'ipaddr.js';
 import { z } from 'zod';
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
@@ -59,9 +60,19 @@
   .brand<'Fingerprint'>();
 export type Fingerprint = z.infer<typeof Fingerprint>;
 
+const ENDPOINT_PATTERN = /^(?:(\d{1,3}(?:\.\d{1,3}){3})|\[([0-9a-f:]+)\]):(\d{1,5})$/;
+const MAX_PORT = 65_535;
+
+function isEndpoint(text: string): boolean {
+  const [, ipv4, ipv6, port] = ENDPOINT_PATTERN.exec(text) ?? [];
+  const isAddress =
+    ipv4 === undefined ? ipaddr.IPv6.isValid(ipv6 ?? '') : ipaddr.IPv4.isValidFourPartDecimal(ipv4);
+  return isAddress && Number(port) <= MAX_PORT;
+}
+
 /** A TCP endpoint: a numeric address and a port. */
 export const Endpoint = z
   .string()
-  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'numeric address and port')
+  .refine(isEndpoint, 'numeric address and port')
   .brand<'Endpoint'>();
 export type Endpoint = z.infer<typeof Endpoint>;
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -65,6 +65,9 @@
 
   #revision = 1;
 
+  /** JSON texts that are sent in place of objects, by the objects' names. */
+  readonly rawTexts = new Map<string, string>();
+
   /** Maximum number of objects on a page of a list. */
   pageSize = 50;
 
@@ -155,13 +158,28 @@
     const after = searchParams.get('after') ?? '';
     const remaining = this.objects(kind).filter((object) => object.Metadata.Name > after);
     const items = remaining.slice(0, this.pageSize);
-    sendJson(res, 200, {
+    this.#sendObjects(res, {
       items,
       More: remaining.length > items.length,
       CurrentRev: this.#revision,
     });
   }
 
+  /** Sends a list or events, with raw texts in place of some objects. */
+  #sendObjects(res: ServerResponse, body: unknown): void {
+    const objects = new Map<string, string>();
+    const text = JSON.stringify(body, (_key, value: unknown) => {
+      const name = (value as Partial<StoreObject> | null)?.Metadata?.Name;
+      const rawText = name === undefined ? undefined : this.rawTexts.get(name);
+      if (rawText === undefined) return value;
+      const placeholder = `raw:${name}`;
+      objects.set(JSON.stringify(placeholder), rawText);
+      return placeholder;
+    });
+    res.writeHead(200, { 'content-type': 'application/json' });
+    res.end([...objects].reduce((sum, [placeholder, raw]) => sum.replace(placeholder, raw), text));
+  }
+
   async #watch(kind: string, since: number, waitMs: number, res: ServerResponse): Promise<void> {
     const deadlineMs = performance.now() + waitMs;
     const pending: { wake?: () => void } = {};
@@ -184,7 +202,7 @@
           Object: object,
           Deleted: deleted,
         }));
-        sendJson(res, 200, { events, CurrentRev: this.#revision });
+        this.#sendObjects(res, { events, CurrentRev: this.#revision });
         return;
       }
       await new Promise<void>((resolve) => {
