Reuse no connection that carried a rejection

An operator of a similar system reported clients that were told 'not run' of requests that had run: a faulty server had written an earlier rejection once more on a kept connection. Here a single server's rejected request went out again on the same connection with the same id; a rejection that the server repeats then has the right id, is believed, and the request that runs is sent once more. Rejections may carry no id at all, so other requests could take one too.

Connections that carried a rejection are closed, so that each rejection on a connection is the first response of that connection.

--- a/src/transport/pools.ts
+++ b/src/transport/pools.ts
@@ -55,9 +55,11 @@
     const upstream = new Upstream(record.address, {
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       onConnected: (tookMs) => placer.recordConnectTime(record.failureDomain, tookMs),
-      isReusable: ({ status, headers }) =>
-        !/close/i.test(String(headers.connection ?? '')) &&
-        !dialect.parseServerFields(status, headers).misdirected,
+      isReusable: ({ status, headers }) => {
+        const { notRun, misdirected } = dialect.parseServerFields(status, headers);
+        // A faulty server may repeat a rejection; on another connection, it can't pass for a new one.
+        return !/close/i.test(String(headers.connection ?? '')) && !notRun && !misdirected;
+      },
       nowMs: () => clock().nowMs,
       memory: this.#memory,
     });
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -26,6 +26,8 @@
   | 'unsigned'
   /** A response that states that the request was not run. */
   | 'rejected'
+  /** A rejection, sent again as soon as the connection carries another request, while that one runs. */
+  | 'rejectedTwice'
   /** A response from another server than the addressed one. */
   | 'misdirected'
   /** Runs the request and responds with 500. */
@@ -74,6 +76,7 @@
     case 'unsigned':
       return `HTTP/1.1 200 OK\r\n${idField}${lengthField}${RESPONSE_BODY}`;
     case 'rejected':
+    case 'rejectedTwice':
       return `HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n${emptyBody}`;
     case 'misdirected':
       return `HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n${emptyBody}`;
@@ -208,6 +211,9 @@
     if (CLOSES_CONNECTION.has(response)) socket.end();
     const repeatedBytes = REPEATED_BYTES[response];
     if (repeatedBytes !== undefined) writeEndlessly(socket, repeatedBytes);
+    if (response === 'rejectedTwice') {
+      socket.once('data', () => socket.write(responseText('rejectedTwice', requestId)));
+    }
     // Arrives in place of the response to the next request.
     if (response === 'doubled') {
       socket.once('data', () => socket.write(responseText('doubled', requestId)));
