Test heads that a server cuts short through a whole entry VM

It can't happen here; no code changes. The same bytes with a whole head are a 200, so that the test can fail.

--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -121,6 +121,9 @@
   /** Responses to the next requests, in order. */
   readonly responses: PlatformResponse[] = [];
 
+  /** Makes the bytes after which the connection is closed, for the next requests; before `responses`. */
+  readonly cutResponses: ((requestId: string) => string)[] = [];
+
   /** Duration of a run in milliseconds. */
   runMs = 1;
 
@@ -190,7 +193,8 @@
       received = '';
       running = true;
       const requestId = headers['request-id'] ?? '';
-      const response = this.responses.shift() ?? 'whole';
+      const cutResponse = this.cutResponses.shift();
+      const response = cutResponse === undefined ? (this.responses.shift() ?? 'whole') : 'lost';
       const run = { requestId, line, headers, body, response };
       this.runs.push(run);
       if (this.crashesOn(run)) {
@@ -200,6 +204,7 @@
       if (response === 'silent') return;
       setTimeout(() => {
         running = false;
+        if (cutResponse !== undefined) socket.write(cutResponse(requestId));
         this.#respond(socket, response, requestId);
       }, this.runMs);
     });
