Let the soak's content crash servers, and check that it is refused

Two disturbances start such content, idempotent or not; it is sent every 300 ms to any entry VM, and a server that runs it ends and is back after 1.5 s under a new id, beside kills, stops, pauses and a store that is away. Checked: later than 4 s after the third crash that undisturbed entry VMs saw, at most three more through entry VMs that nothing was done to for 4 s.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -61,10 +61,25 @@
   readonly storeDisturbances: readonly Disturbance[];
   /** Runs that backend servers started, by request id. */
   readonly runs: ReadonlyMap<string, readonly RunConditions[]>;
+  readonly crashes: readonly ServerCrash[];
   /** Time at which the last disturbance ended. */
   readonly disturbancesEndedMs: number;
 }
 
+/** A backend server that crashed while it ran a request. */
+export interface ServerCrash {
+  readonly content: string;
+  readonly requestId: string;
+  readonly atMs: number;
+  /** Disturbances of the server's connections. */
+  readonly disturbances: readonly Disturbance[];
+}
+
+/** Crashes after which content must be refused, the time in which entry VMs agree on it, and later exceptions. */
+const CRASHES_TO_REFUSE = 3;
+const AGREEMENT_MS = 4_000;
+const MAX_LATE_CRASHES = 3;
+
 /** Statuses which state that the request was not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -165,6 +180,36 @@
   });
 }
 
+/** Content that crashed three servers reaches hardly any more, through entry VMs that nothing was done to. */
+function checkCrashes({ crashes, requests }: Observations): string[] {
+  const nodes = new Map(requests.map(({ id, node }) => [id, node]));
+  const isCalm = ({ requestId }: ServerCrash, fromMs: number, toMs: number): boolean =>
+    nodes
+      .get(requestId)
+      ?.disturbances.every((disturbance) => !overlaps(disturbance, fromMs, toMs)) ?? false;
+  return [...new Set(crashes.map(({ content }) => content))].flatMap((content) => {
+    const ofContent = crashes.filter((crash) => crash.content === content);
+    const observed = ofContent.filter(
+      (crash) =>
+        isCalm(crash, crash.atMs - SETTLING_MS, crash.atMs + SETTLING_MS) &&
+        crash.disturbances.every(
+          (disturbance) =>
+            !overlaps(disturbance, crash.atMs - SETTLING_MS, crash.atMs + SETTLING_MS),
+        ),
+    );
+    const thirdMs = observed[CRASHES_TO_REFUSE - 1]?.atMs ?? Infinity;
+    const late = ofContent.filter(
+      (crash) =>
+        crash.atMs > thirdMs + AGREEMENT_MS && isCalm(crash, crash.atMs - AGREEMENT_MS, crash.atMs),
+    );
+    return late.length > MAX_LATE_CRASHES
+      ? [
+          `${content} crashed ${late.length} servers long after the third, ${ofContent.length} in all`,
+        ]
+      : [];
+  });
+}
+
 function checkRecovery({ requests, disturbancesEndedMs }: Observations): string[] {
   const after = requests.filter(({ sentMs }) => sentMs > disturbancesEndedMs + SETTLING_MS);
   const served = after.filter(({ status }) => status === 200).length;
@@ -181,6 +226,7 @@
     checkTimeouts,
     checkPlans,
     checkRollbacks,
+    checkCrashes,
     checkRecovery,
   ].flatMap((checkInvariant) => checkInvariant(observations));
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -22,6 +22,18 @@
     ],
   },
   { seed: 3, nodes: 6, durationMs: 30_000, disturbances: 24 },
+  // Content that crashed three servers was sent on by all entry VMs (docs/incidents/04).
+  {
+    seed: 20,
+    nodes: 6,
+    durationMs: 0,
+    disturbances: 0,
+    script: [
+      { atMs: 0, name: 'idempotent content starts to crash servers' },
+      { atMs: 3_000, name: 'non-idempotent content starts to crash servers' },
+      { atMs: 12_000, name: 'plan changed' },
+    ],
+  },
 ];
 
 /** Maximum number of violations printed for a run. */
--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -13,7 +13,7 @@
 import { RelayStandIn } from '../standins/relays.js';
 import type { Direction } from '../standins/relays.js';
 import { checkInvariants } from './checks.js';
-import type { CallerRequest, PlanChange, PlanProbe, RunConditions } from './checks.js';
+import type { CallerRequest, PlanChange, PlanProbe, RunConditions, ServerCrash } from './checks.js';
 import { SoakNode } from './nodeprocesses.js';
 import type { Disturbance } from './nodeprocesses.js';
 import { createRandomInteger } from './randomgenerators.js';
@@ -46,6 +46,10 @@
 const START_PHASE_MS = 4_000;
 const RECOVERY_PHASE_MS = 6_000;
 
+/** Interval at which content that crashes servers is sent, and time until a crashed server is back, in milliseconds. */
+const CRASHING_INTERVAL_MS = 300;
+const RESTART_MS = 1_500;
+
 /** Upper bound of the random part of a disturbance's duration, and drain time of a leaving server, in milliseconds. */
 const MAX_DISTURBANCE_MS = 4_000;
 
@@ -130,10 +134,17 @@
 
   readonly #changes: PlanChange[] = [];
 
+  readonly #crashes: ServerCrash[] = [];
+
+  /** Paths of requests that crash the servers that run them. */
+  readonly #crashingPaths: string[] = [];
+
   readonly #violations: string[] = [];
 
   readonly #done: string[] = [];
 
+  readonly #restartTimers: NodeJS.Timeout[] = [];
+
   #inFlight = new Set<Promise<unknown>>();
 
   constructor(options: SoakOptions) {
@@ -147,6 +158,10 @@
     await pause(START_PHASE_MS);
     const timers = [
       setInterval(() => this.#track(this.#request()), REQUEST_INTERVAL_MS),
+      setInterval(
+        () => this.#crashingPaths.forEach((path) => this.#track(this.#requestCrashing(path))),
+        CRASHING_INTERVAL_MS,
+      ),
       setInterval(
         () => this.#nodes.forEach((node) => this.#track(this.#probe(node))),
         PROBE_INTERVAL_MS,
@@ -157,6 +172,7 @@
     await pause(RECOVERY_PHASE_MS);
     timers.forEach((timer) => clearInterval(timer));
     await Promise.all(this.#inFlight);
+    this.#restartTimers.forEach((timer) => clearTimeout(timer));
     await Promise.all(this.#nodes.map((node) => node.stop()));
     this.#allServers.forEach(({ standIn }) => standIn.stop());
     this.#servers.forEach(({ relay }) => relay.stop());
@@ -175,6 +191,7 @@
       probes: this.#probes,
       changes: this.#changes,
       storeDisturbances: this.#storeDisturbances,
+      crashes: this.#crashes,
       runs,
       disturbancesEndedMs,
     });
@@ -221,11 +238,29 @@
     const relay = new RelayStandIn(await standIn.start());
     const address = await relay.start();
     const server = { id, domain, standIn, relay, address, disturbances: [] };
+    standIn.crashesOn = ({ line }) => this.#crashingPaths.some((path) => line.includes(path));
+    standIn.onCrash = ({ line, requestId }) => this.#onCrash(server, line, requestId);
     this.#servers.push(server);
     this.#allServers.push(server);
     this.#publish(server, 'ready', 1);
   }
 
+  /** Restarts a server that crashed, under a new id. */
+  #onCrash(server: SoakServer, content: string, requestId: string): void {
+    const { disturbances, domain, relay, id } = server;
+    this.#crashes.push({ content, requestId, atMs: this.#now(), disturbances });
+    relay.stop();
+    const restart = async (): Promise<void> => {
+      // A server that was leaving when it crashed has its replacement already.
+      if (!this.#servers.includes(server)) return;
+      this.#store.remove('servers', id);
+      await this.#addServer(domain);
+      const index = this.#servers.indexOf(server);
+      if (index >= 0) this.#servers.splice(index, 1);
+    };
+    this.#restartTimers.push(setTimeout(() => this.#track(restart()), RESTART_MS));
+  }
+
   #publish({ id, domain, address }: SoakServer, State: string, Sequence: number): void {
     const record = entryOf(address, { Zone: domain, Capacity: SLOTS, State, Sequence });
     this.#store.put('servers', id, record);
@@ -253,6 +288,11 @@
     this.#requests.push(await this.#send(node, path, idempotent, String(key)));
   }
 
+  async #requestCrashing(path: string): Promise<void> {
+    const node = this.#nodes[this.#callerRandom(this.#nodes.length)] as SoakNode;
+    this.#requests.push(await this.#send(node, path, path.startsWith('/prices/'), 'crash'));
+  }
+
   async #probe(node: SoakNode): Promise<void> {
     const newestVersion = this.#changes.at(-1)?.version ?? 0;
     const version = newestVersion - this.#callerRandom(2);
@@ -359,6 +399,8 @@
       ],
       [`store silent for ${durationMs} ms`, () => this.#disturbStore('silent', durationMs)],
       ['store drops its history', () => this.#dropHistory()],
+      ['idempotent content starts to crash servers', () => this.#startCrashing('/prices/')],
+      ['non-idempotent content starts to crash servers', () => this.#startCrashing('/deposits/')],
       [`${server.id} drains and leaves`, () => this.#replace(server)],
       [
         `${server.id} runs requests and drops the responses`,
@@ -398,6 +440,10 @@
     ];
   }
 
+  #startCrashing(prefix: string): void {
+    this.#crashingPaths.push(`${prefix}crash-${this.#crashingPaths.length}/`);
+  }
+
   async #disturbServer({ disturbances }: SoakServer, act: Action): Promise<void> {
     const disturbance = { fromMs: this.#now(), toMs: Infinity, planned: false };
     disturbances.push(disturbance);
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -137,7 +137,7 @@
   crashesOn: (run: PlatformRun) => boolean = () => false;
 
   /** Called after a request has ended the process. */
-  onCrash: () => void = () => undefined;
+  onCrash: (run: PlatformRun) => void = () => undefined;
 
   readonly #sockets = new Set<Socket>();
 
@@ -161,10 +161,10 @@
     this.#server.close();
   }
 
-  #crash(): void {
+  #crash(run: PlatformRun): void {
     this.#server.close();
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
-    this.onCrash();
+    this.onCrash(run);
   }
 
   #accept(socket: Socket): void {
@@ -198,7 +198,7 @@
       const run = { requestId, line, headers, body, response };
       this.runs.push(run);
       if (this.crashesOn(run)) {
-        this.#crash();
+        this.#crash(run);
         return;
       }
       if (response === 'silent') return;
