--- a/src/coordination/tests/shares.test.ts
+++ b/src/coordination/tests/shares.test.ts
@@ -90,6 +90,44 @@
   expect(retries).to.be.at.least(50);
 });
 
+// Guards against a budget that is earned by requests of a window which is over when the retries are sent.
+it('retries stay within the budget of every window when traffic rises and falls', () => {
+  const windowMs = 10_000;
+  const stepMs = 250;
+  const entryVms = 4;
+  const requestsPerStep = fc.integer({ min: 0, max: 40 });
+  const phases = fc.array(fc.tuple(requestsPerStep, fc.integer({ min: 1, max: 60 })), {
+    minLength: 2,
+    maxLength: 6,
+  });
+  const property = fc.property(phases, (traffic) => {
+    const budgets = Array.from(
+      { length: entryVms },
+      () => new RetryBudget({ ratio: 0.2, burst: 60, windowMs }),
+    );
+    const loads = traffic.flatMap(([requests, steps]) => Array<number>(steps).fill(requests));
+    const retries = loads.map((requests, step) => {
+      const nowMs = step * stepMs;
+      for (let i = 0; i < requests; i += 1) budgets[i % entryVms]?.recordRequest(SERVICE, nowMs);
+      let granted = 0;
+      budgets.forEach((budget) => {
+        for (let i = 0; i < 30; i += 1) if (budget.trySpend(SERVICE, entryVms, nowMs)) granted += 1;
+      });
+      return granted;
+    });
+    const window = windowMs / stepMs;
+    const sum = (counts: readonly number[], from: number): number =>
+      counts.slice(Math.max(0, from), Math.max(0, from + window)).reduce((a, b) => a + b, 0);
+    loads.forEach((_, from) => {
+      const earned = Math.max(
+        ...[from, from - window, from - window / 2].map((start) => sum(loads, start)),
+      );
+      expect(sum(retries, from)).to.be.at.most(0.2 * earned + 60);
+    });
+  });
+  fc.assert(property, { seed: 20, numRuns: 300 });
+});
+
 it('waiting requests are offered by rank, then by age', () => {
   const waitlist = new Waitlist<string>();
   waitlist.add('bulk', 2);
