--- a/soak/worlds.ts
+++ b/soak/worlds.ts
@@ -249,6 +249,8 @@
   #onCrash(server: SoakServer, content: string, requestId: string): void {
     const { disturbances, domain, relay, id } = server;
     this.#crashes.push({ content, requestId, atMs: this.#now(), disturbances });
+    // The server resets its connections; the relay would close them, which ends a response without a length.
+    relay.resetConnections();
     relay.stop();
     const restart = async (): Promise<void> => {
       // A server that was leaving when it crashed has its replacement already.
