Honour servers that announce in responses that they leave or want no requests

What callers saw: an entry VM kept sending to a server whose responses said that it leaves, as long as the store listed it, and to servers that had turned requests away with 503 and Retry-After. Those requests ended with the server or were turned away again, each for a retry of the budget.

Cause: neither field was read. The first sign of a leaving server was the store, a 421 or a closed connection; a rejection only counted as a failure in the server's health.

Change: `ServerNotices` (no network) holds both kinds of notice for one process of a server; the load balancer selects no server with one. When all servers of a route are held off, callers are rejected at once (`held_off`) with the earliest end and jitter in proportion to it. After its time a server gets one request at a time until it has served one. `parseRetryAfterMs` replaces the parser in backendpools.ts, which took an enormous value as it was. A server that announced that it leaves counts no longer as crashed when it refuses connections.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -26,6 +26,7 @@
 export * from './retrybudgets.js';
 export * from './routetimes.js';
 export * from './serverloads.js';
+export * from './servernotices.js';
 export * from './shifts.js';
 export * from './loadsightings.js';
 export * from './waitlists.js';
--- a/src/coordination/loadbalancers.ts
+++ b/src/coordination/loadbalancers.ts
@@ -16,6 +16,7 @@
 import { rendezvousTop } from './rendezvous.js';
 import { ServerLoads } from './serverloads.js';
 import type { ServerLoad } from './serverloads.js';
+import { ServerNotices } from './servernotices.js';
 import { ewma } from './slots.js';
 import { WarmupLimiter } from './warmuplimiters.js';
 
@@ -65,6 +66,8 @@
   | { readonly type: 'wait' }
   /** The request is shed: its expected wait or response time is too long. */
   | { readonly type: 'late'; readonly waitMs: number; readonly expectedMs: number }
+  /** All suitable servers want no requests for some time, the first one for `waitMs`. */
+  | { readonly type: 'heldOff'; readonly waitMs: number }
   | { readonly type: 'noServer' };
 
 /**
@@ -111,6 +114,9 @@
   /** Load, speed and health of each server. */
   readonly loads = new ServerLoads();
 
+  /** What servers announced about themselves. */
+  readonly notices = new ServerNotices();
+
   readonly #shares = new Map<ServiceName, RegionShares>();
 
   readonly #estimates = new RouteEstimates();
@@ -189,8 +195,9 @@
     else estimate.coldMs = ewma(estimate.coldMs, executionMs);
   }
 
-  /** Updates the region shares of each service. */
+  /** Updates the region shares of each service, and drops old notices. */
   tick(nowMs: number): void {
+    this.notices.tick(nowMs);
     const services = new Set(this.#view.plan?.services.map((service) => service.name));
     this.#shares.forEach((shares, service) => {
       if (!services.has(service)) this.#shares.delete(service);
@@ -205,7 +212,7 @@
 
   place(request: PlacementRequest, nowMs: number): PlacementOutcome {
     const candidates = this.#candidates(request, nowMs);
-    if (candidates.length === 0) return { type: 'noServer' };
+    if (candidates.length === 0) return this.#noCandidate(request, nowMs);
     const byCost = [...candidates].sort((x, y) => x.cost - y.cost);
     const maySpill = hasSpareCapacity(candidates);
     const timely = byCost.filter(
@@ -220,6 +227,7 @@
     const selected = timely.find(
       (candidate) =>
         candidate.occupancy < candidate.server.record.slots * (1 + queuePerSlot) &&
+        this.#isProbationAllowed(candidate, nowMs) &&
         this.#isWarmupAllowed(candidate, nowMs),
     );
     return selected === undefined ? { type: 'wait' } : { type: 'place', placement: selected };
@@ -252,6 +260,11 @@
     return waitedMs + candidate.waitMs > maxWaitMs;
   }
 
+  /** Whether the server takes this request in addition to those in flight after a hold-off. */
+  #isProbationAllowed({ server: { record } }: Candidate, nowMs: number): boolean {
+    return !this.notices.isOnProbation(record, nowMs) || this.load(record.id).inFlight === 0;
+  }
+
   #isWarmupAllowed(candidate: Candidate, nowMs: number): boolean {
     const { server } = candidate;
     if (!this.#view.isCold(server, nowMs)) return true;
@@ -274,20 +287,34 @@
     return inRegion.map((server) => this.#candidate(request, server, server === homeServer, nowMs));
   }
 
-  #eligibleServers(
-    { route, service, tried, mayReuse }: PlacementRequest,
-    nowMs: number,
-  ): readonly KnownServer[] {
-    const { regions } = this.#options;
-    const allowed = this.#view.usableServers(service).filter(({ record }) => {
-      const region = regions.get(record.failureDomain);
+  #eligibleServers(request: PlacementRequest, nowMs: number): readonly KnownServer[] {
+    const { tried, mayReuse } = request;
+    const allowed = this.#reachableServers(request, nowMs).filter(
+      ({ record }) => this.notices.holdOffMs(record, nowMs) === 0,
+    );
+    const untried = allowed.filter(({ record }) => !tried.has(record.id));
+    return untried.length === 0 && mayReuse ? allowed : untried;
+  }
+
+  /** Servers that the route may use and that are not known to leave or to be unreachable. */
+  #reachableServers({ route, service }: PlacementRequest, nowMs: number): readonly KnownServer[] {
+    return this.#view.usableServers(service).filter(({ record }) => {
+      const region = this.#regionOf(record.failureDomain);
       const isRegionAllowed =
         route.allowedRegions.length === 0 ||
         (region !== undefined && route.allowedRegions.includes(region));
-      return isRegionAllowed && !this.load(record.id).isEjected(nowMs);
+      return (
+        isRegionAllowed && !this.notices.isLeaving(record) && !this.load(record.id).isEjected(nowMs)
+      );
     });
-    const untried = allowed.filter(({ record }) => !tried.has(record.id));
-    return untried.length === 0 && mayReuse ? allowed : untried;
+  }
+
+  #noCandidate(request: PlacementRequest, nowMs: number): PlacementOutcome {
+    const holdOffsMs = this.#reachableServers(request, nowMs)
+      .map(({ record }) => this.notices.holdOffMs(record, nowMs))
+      .filter((holdOffMs) => holdOffMs > 0);
+    if (holdOffsMs.length === 0) return { type: 'noServer' };
+    return { type: 'heldOff', waitMs: Math.min(...holdOffsMs) };
   }
 
   /** Selects the region for an object by weighted rendezvous hashing. */
@@ -405,7 +432,11 @@
     this.#view.usableServers(service).forEach(({ record }) => {
       const load = this.load(record.id);
       const region = this.#regionOf(record.failureDomain);
-      if (region === undefined || load.isEjected(nowMs)) return;
+      const isAvailable =
+        !load.isEjected(nowMs) &&
+        !this.notices.isLeaving(record) &&
+        this.notices.holdOffMs(record, nowMs) === 0;
+      if (region === undefined || !isAvailable) return;
       const costMs =
         this.#networkCosts.roundTripMs(record.failureDomain) * ROUND_TRIP_WEIGHT +
         this.#networkCosts.msPerByte(record.failureDomain) * meanBytes;
--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -11,6 +11,7 @@
 import { FACT_KINDS } from './fleetviews.js';
 import type { Revisions } from './fleetviews.js';
 import type { LoadSighting } from './loadsightings.js';
+import type { LeavingServer } from './servernotices.js';
 
 /** Addresses of an entry VM. Each one writes its record to the platform's store once. */
 export interface PeerRecord {
@@ -37,6 +38,8 @@
   readonly sightings: readonly LoadSighting[];
   /** Content that crashed backend servers, sent to a few recipients. */
   readonly crashReports: readonly CrashReport[];
+  /** Backend servers that announced in responses to the sender that they leave. */
+  readonly leaving: readonly LeavingServer[];
 }
 
 interface KnownPeer {
--- a/src/coordination/tests/shares.test.ts
+++ b/src/coordination/tests/shares.test.ts
@@ -184,6 +184,7 @@
     near: [],
     sightings: [],
     crashReports: [],
+    leaving: [],
     ...change,
   };
 }
--- a/src/coordination/tests/watchers.test.ts
+++ b/src/coordination/tests/watchers.test.ts
@@ -29,6 +29,7 @@
     near: [],
     sightings: [],
     crashReports: [],
+    leaving: [],
     ...change,
   };
 }
--- a/src/protocol/dialects.ts
+++ b/src/protocol/dialects.ts
@@ -22,6 +22,10 @@
   readonly notRun: boolean;
   /** Whether the address now belongs to another server. */
   readonly misdirected: boolean;
+  /** Whether the server announces that it leaves. */
+  readonly leaving: boolean;
+  /** Time for which the server wants no requests from this entry VM, in milliseconds. */
+  readonly holdOffMs: number | undefined;
   readonly load: LoadReport | undefined;
 }
 
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -40,6 +40,8 @@
   'upgrade',
 ]);
 
+const MS_PER_S = 1_000;
+
 /** Header fields by lower-case name, as Node represents them. */
 export type HeaderFields = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -71,6 +73,23 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Longest `Retry-After` that is honoured, so that one faulty response does not end a server's use. */
+const MAX_RETRY_AFTER_MS = 3_600_000;
+
+/**
+ * Returns the time that `Retry-After` states, in milliseconds; undefined without a valid one. Of several
+ * values the longest counts. A date is not valid: it can't be compared with a monotonic clock.
+ */
+export function parseRetryAfterMs(headers: HeaderFields): number | undefined {
+  const values = [headers['retry-after'] ?? []].flat().flatMap((field) => field.split(','));
+  const seconds = values
+    .map((value) => value.trim())
+    .filter((value) => /^\d+(\.\d+)?$/.test(value))
+    .map(Number);
+  if (seconds.length === 0) return undefined;
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(...seconds) * MS_PER_S);
+}
+
 /** Returns a copy with this hop added to `Forwarded` (RFC 7239). */
 export function withForwarded(
   headers: Record<string, string | string[]>,
@@ -97,6 +116,7 @@
   cancelled: SERVICE_UNAVAILABLE,
   deadline: SERVICE_UNAVAILABLE,
   future_epoch: 422,
+  held_off: SERVICE_UNAVAILABLE,
   link_full: SERVICE_UNAVAILABLE,
   no_entry_vm: SERVICE_UNAVAILABLE,
   no_grant: SERVICE_UNAVAILABLE,
--- a/src/protocol/heartbeats.ts
+++ b/src/protocol/heartbeats.ts
@@ -1,6 +1,11 @@
 /** Wire schema of the heartbeat between entry VMs: MessagePack in one UDP datagram. */
 import { z } from 'zod';
-import { MAX_CRASHES_KEPT, MAX_CRASH_REPORTS, MAX_SIGHTINGS } from '../coordination/index.js';
+import {
+  MAX_CRASHES_KEPT,
+  MAX_CRASH_REPORTS,
+  MAX_LEAVING_SERVERS,
+  MAX_SIGHTINGS,
+} from '../coordination/index.js';
 import {
   Endpoint,
   EntryVmId,
@@ -33,6 +38,11 @@
   ageMs: z.number().int().nonnegative(),
 });
 
+const LeavingServerMessage = z.object({
+  id: brandedName<BackendServerId>(),
+  bornMs: z.number().int(),
+});
+
 const revision = () => z.number().int().nonnegative();
 
 export const HeartbeatMessage = z.object({
@@ -52,5 +62,7 @@
   sightings: z.array(SightingMessage).max(MAX_SIGHTINGS),
   /** Absent from entry VMs of earlier versions. */
   crashReports: z.array(CrashReportMessage).max(MAX_CRASH_REPORTS).default([]),
+  /** The same. */
+  leaving: z.array(LeavingServerMessage).max(MAX_LEAVING_SERVERS).default([]),
 });
 export type HeartbeatMessage = z.infer<typeof HeartbeatMessage>;
--- a/src/state/outcomes.ts
+++ b/src/state/outcomes.ts
@@ -9,6 +9,7 @@
   'cancelled',
   'deadline',
   'future_epoch',
+  'held_off',
   'link_full',
   'no_entry_vm',
   'no_grant',
--- a/src/transport/backendpools.ts
+++ b/src/transport/backendpools.ts
@@ -8,7 +8,7 @@
 import type { Readable } from 'node:stream';
 import { z } from 'zod';
 import type { RunResult } from '../coordination/index.js';
-import { DEADLINE_HEADER, firstHeaderValue } from '../protocol/index.js';
+import { DEADLINE_HEADER, parseRetryAfterMs } from '../protocol/index.js';
 import type { Endpoint } from '../state/index.js';
 import { collectResponse, waitForBodyEnd } from './relayedresponses.js';
 import type { RelayedResponse } from './relayedresponses.js';
@@ -118,10 +118,10 @@
       },
       {
         onResponse: (rawResponse, stream) => {
-          const retryAfter = firstHeaderValue(rawResponse.headers, 'retry-after');
-          if (rawResponse.statusCode === REFUSED_STATUS && retryAfter !== undefined) {
+          const { statusCode, headers } = rawResponse;
+          if (statusCode === REFUSED_STATUS && headers['retry-after'] !== undefined) {
             sent.stop();
-            finish({ type: 'refused', retryAfterMs: parseRetryAfterMs(retryAfter) });
+            finish({ type: 'refused', retryAfterMs: parseRetryAfterMs(headers) ?? 0 });
             return;
           }
           res = rawResponse;
@@ -217,10 +217,3 @@
     this.#idleConnections.push(returned);
   }
 }
-
-const MS_PER_S = 1_000;
-
-function parseRetryAfterMs(value: string): number {
-  const seconds = Number(value);
-  return Number.isFinite(seconds) ? Math.max(0, seconds * MS_PER_S) : 0;
-}
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -28,6 +28,7 @@
 import type { LookupOrigin } from './httpservers.js';
 import type { Logger } from './logs.js';
 import { NodeMetrics } from './nodemetrics.js';
+import { NoticeRecorder } from './noticerecorders.js';
 import { UpstreamPool } from './pools.js';
 import { eventLoopMeter } from './utilizationmeters.js';
 import type { UtilizationMeter } from './utilizationmeters.js';
@@ -159,12 +160,19 @@
       log,
       metrics: this.#metrics,
     });
+    const noticeRecorder = new NoticeRecorder({
+      notices: this.#loadBalancer.notices,
+      clock,
+      log,
+      metrics: this.#metrics,
+    });
     this.#proxy = new RequestProxy({
       view: this.#view,
       loadBalancer: this.#loadBalancer,
       budget: this.#budget,
       pool: this.#pool,
       crashGuard,
+      noticeRecorder,
       dialect,
       clock,
       log,
@@ -206,6 +214,8 @@
       newCrashReports: (nowMs) => this.#quarantine.flushReports(nowMs),
       standingCrashReports: (nowMs) => this.#quarantine.standingReports(nowMs),
       onCrashReports: (reports, from, nowMs) => crashGuard.merge(reports, from, nowMs),
+      newLeaving: () => this.#loadBalancer.notices.flushLeaving(),
+      onLeaving: (servers, from) => noticeRecorder.mergeLeaving(servers, from),
       onLiveChanged: () => {
         const { nowMs } = clock();
         this.#assignWatch(nowMs);
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -95,6 +95,12 @@
     text: 'content crashes backend servers, refused from now on',
   },
   contentTried: { id: 511, level: 'warn', text: 'quarantined content is tried once more' },
+  serverLeaving: { id: 512, level: 'info', text: 'backend server announced that it leaves' },
+  serverHeldOff: {
+    id: 513,
+    level: 'info',
+    text: 'backend server wants no requests for some time',
+  },
   changeAccepted: { id: 601, level: 'info', text: 'change of settings accepted' },
   changeRefused: { id: 602, level: 'warn', text: 'change of settings refused' },
 } as const satisfies Record<string, LogEvent>;
--- a/src/transport/nodemetrics.ts
+++ b/src/transport/nodemetrics.ts
@@ -47,6 +47,13 @@
     registers: [this.registry],
   });
 
+  readonly #serverNotices = new Counter({
+    name: 'lovagesail_server_notices_total',
+    help: 'Notices of backend servers, by kind: that they leave, or want no requests for some time',
+    labelNames: ['kind'] as const,
+    registers: [this.registry],
+  });
+
   readonly #quarantined = new Gauge({
     name: 'lovagesail_quarantined_contents',
     help: 'Contents refused because they crash backend servers',
@@ -119,6 +126,10 @@
     this.#serverCrashes.inc();
   }
 
+  countServerNotice(kind: 'leaving' | 'hold_off'): void {
+    this.#serverNotices.inc({ kind });
+  }
+
   setQuarantined(count: number): void {
     this.#quarantined.set(count);
   }
--- a/src/transport/peersyncs.ts
+++ b/src/transport/peersyncs.ts
@@ -6,6 +6,7 @@
   CrashReport,
   FleetView,
   Heartbeat,
+  LeavingServer,
   LoadSighting,
   MergeResult,
   PeerRecord,
@@ -84,6 +85,10 @@
     from: EntryVmId,
     nowMs: number,
   ) => void;
+  /** Backend servers that newly announced that they leave, for one round of heartbeats. */
+  readonly newLeaving: () => readonly LeavingServer[];
+  /** Called with leaving servers that another entry VM reports. */
+  readonly onLeaving: (servers: readonly LeavingServer[], from: EntryVmId) => void;
   /** Called when the set of live entry VMs has changed. */
   readonly onLiveChanged: () => void;
   /** Called with the changes after facts of another entry VM were merged. */
@@ -153,7 +158,7 @@
   #sendHeartbeats(): void {
     const { self, peers, ready, stopping, seeds } = this.#options;
     const nowMs = this.#now();
-    const heartbeat = this.#heartbeat();
+    const heartbeat = { ...this.#heartbeat(), leaving: this.#options.newLeaving() };
     const inOwnDomain = (peer: PeerRecord): boolean => peer.failureDomain === self.failureDomain;
     const own = peers.records.filter(inOwnDomain);
     const near = peers.records.filter((peer) => peer.region === self.region && !inOwnDomain(peer));
@@ -192,6 +197,7 @@
       near: [],
       sightings: [],
       crashReports: [],
+      leaving: [],
     };
   }
 
@@ -230,6 +236,7 @@
     if (becameLive) this.#updateLive(nowMs);
     this.#options.onSightings(message.data.sightings, nowMs);
     this.#options.onCrashReports(message.data.crashReports, message.data.peer.id, nowMs);
+    this.#options.onLeaving(message.data.leaving, message.data.peer.id);
     if (!this.#options.assigned()) this.#catchUp(nowMs);
   }
 
--- a/src/transport/pools.ts
+++ b/src/transport/pools.ts
@@ -87,7 +87,10 @@
       .probe()
       .then((result) => {
         const known = this.#options.view.server(id)?.record;
-        const leaving = known === undefined || known.draining;
+        const leaving =
+          known === undefined ||
+          known.draining ||
+          this.#options.loadBalancer.notices.isLeaving(known);
         return result === 'refused' && !leaving;
       })
       .finally(() => this.#crashChecks.delete(id));
--- a/src/transport/requestproxies.ts
+++ b/src/transport/requestproxies.ts
@@ -31,6 +31,7 @@
 import type { Arrival, Attempt, Exchange } from './exchanges.js';
 import type { LogDetails, Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
+import type { NoticeRecorder } from './noticerecorders.js';
 import type { UpstreamPool } from './pools.js';
 import type { UpstreamEnd, UpstreamResponse } from './upstreams.js';
 
@@ -43,9 +44,10 @@
 /** Timeout of requests whose caller states no deadline; a shorter route timeout takes precedence. */
 const DEFAULT_TIMEOUT_MS = 10_000;
 
-/** Minimum `retry-after` of a response, and the random jitter added to it. */
+/** Minimum `retry-after` of a response, and the random jitter added to it: the larger of the two. */
 const MIN_RETRY_AFTER_MS = 200;
 const RETRY_AFTER_JITTER_MS = 400;
+const RETRY_AFTER_JITTER_RATIO = 0.25;
 
 /** Maximum length of caller-supplied text in a log line. */
 const MAX_LOGGED_CHARS = 120;
@@ -58,6 +60,7 @@
   readonly budget: RetryBudget;
   readonly pool: UpstreamPool;
   readonly crashGuard: CrashGuard;
+  readonly noticeRecorder: NoticeRecorder;
   readonly dialect: Dialect;
   readonly clock: Clock;
   readonly log: Logger;
@@ -261,9 +264,14 @@
       this.#schedulePlacement();
       return;
     }
-    const codes = { wait: 'queue_full', late: 'overloaded', noServer: 'no_server' } as const;
+    const codes = {
+      wait: 'queue_full',
+      late: 'overloaded',
+      heldOff: 'held_off',
+      noServer: 'no_server',
+    } as const;
     const failure = notRunFailure(codes[outcome.type]);
-    const waitMs = outcome.type === 'late' ? outcome.waitMs : 0;
+    const waitMs = 'waitMs' in outcome ? outcome.waitMs : 0;
     this.#options.log('requestNotRun', {
       request: exchange.fields.requestId,
       code: failure.code,
@@ -466,6 +474,12 @@
     const { id } = placement.server.record;
     const serverFields = dialect.parseServerFields(response.status, response.headers);
     if (serverFields.load !== undefined) placer.loads.recordReport(id, serverFields.load, nowMs);
+    if (!serverFields.misdirected && result.type !== 'lost')
+      this.#options.noticeRecorder.record(
+        exchange.fields.requestId,
+        placement.server,
+        serverFields,
+      );
     if (serverFields.misdirected) {
       this.#options.log('serverMisdirected', { server: id });
       view.removeServer(id, nowMs);
@@ -473,6 +487,7 @@
       return;
     }
     if (result.type !== 'answered' || !result.genuine || response.status >= 400) return;
+    placer.notices.recordServed(placement.server.record, nowMs);
     const key = exchange.fields.affinityKey;
     if (exchange.route.affinity && key !== undefined) {
       placer.markWarm(id, exchange.route, key, nowMs);
@@ -558,7 +573,8 @@
   }
 
   #sendFailure(res: ServerResponse, failure: Failure, waitMs = 0): void {
-    const retryAfterMs = waitMs + Math.random() * RETRY_AFTER_JITTER_MS;
+    const jitterMs = Math.max(RETRY_AFTER_JITTER_MS, waitMs * RETRY_AFTER_JITTER_RATIO);
+    const retryAfterMs = waitMs + Math.random() * jitterMs;
     writeFailure(res, failure, retryAfterMs, this.#options.stopping());
   }
 
--- a/standins/platformservers.ts
+++ b/standins/platformservers.ts
@@ -124,6 +124,9 @@
   /** Makes the bytes after which the connection is closed, for the next requests; before `responses`. */
   readonly cutResponses: ((requestId: string) => string)[] = [];
 
+  /** Header lines added to each response that has a head. */
+  extraFields: readonly string[] = [];
+
   /** Duration of a run in milliseconds. */
   runMs = 1;
 
@@ -210,9 +213,14 @@
     });
   }
 
+  #withExtraFields(text: string): string {
+    const fields = this.extraFields.map((field) => `${field}\r\n`).join('');
+    return text.replace('\r\n', `\r\n${fields}`);
+  }
+
   #respond(socket: Socket, response: PlatformResponse, requestId: string): void {
     if (socket.destroyed) return;
-    socket.write(responseText(response, requestId));
+    socket.write(this.#withExtraFields(responseText(response, requestId)));
     if (CLOSES_CONNECTION.has(response)) socket.end();
     const repeatedBytes = REPEATED_BYTES[response];
     if (repeatedBytes !== undefined) writeEndlessly(socket, repeatedBytes);
