Send no request that outlasts a planned stop, and answer all at its end

What callers saw: in a planned stop in calm, requests that had been read and passed on late in the grace period ended with a closed connection, among them ones that must not run twice.

Cause: whether a request could outlast the stop was asked once, when it was read, and not at all in the first 2.5 s, in which callers are informed. A request that was read then and waited for a server was sent whenever one became free, up to the end; and at the end the process exited over whatever was in flight.

Evidence: platform/tests/stops.test.ts, a real process and SIGTERM, one server of 0.9 s and three slots, a request of 6 s deadline every 100 ms, grace 4 s: on eight requests were read and their connections ended without a response; a request whose server outlasts the grace period got none either.

Ruled out: connections in the kernel's backlog; their callers see a reset before any byte was read.

Change: `Shutdown` (no network) decides at reading as before, and again before each sending by the time after which a response is overdue; what doesn't fit is refused at once as not run. At the end of the grace period each request in flight gets its response (503 not run, or 504), and 300 ms remain to send them.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -28,6 +28,7 @@
 export * from './serverloads.js';
 export * from './servernotices.js';
 export * from './shifts.js';
+export * from './shutdowns.js';
 export * from './loadsightings.js';
 export * from './waitlists.js';
 export * from './warmuplimiters.js';
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -3,10 +3,12 @@
 import type { Server } from 'node:http';
 import {
   CrashQuarantine,
+  DRAIN_NOTICE_MS,
   FleetView,
   LoadBalancer,
   PeerView,
   RetryBudget,
+  Shutdown,
 } from '../coordination/index.js';
 import type { PeerRecord } from '../coordination/index.js';
 import type { Dialect, FactStore, NodeConfig } from '../protocol/index.js';
@@ -48,11 +50,8 @@
 /** Maximum time for which callers may cache a look-up. */
 const MAX_LOOKUP_TTL_MS = 2_000;
 
-/** Time after SIGTERM in which callers are informed and move to other entry VMs. */
-const DRAIN_NOTICE_MS = 2_500;
-
-/** Part of the grace period reserved for the process's own exit before it is killed. */
-const EXIT_MARGIN_MS = 700;
+/** Time for which the last responses of a stopping process may still be sent. */
+const LAST_RESPONSES_MS = 300;
 
 /** Processor utilization from which callers wait noticeably. */
 const BUSY_THRESHOLD = 0.7;
@@ -101,16 +100,13 @@
 
   #timers: NodeJS.Timeout[] = [];
 
-  #stopping = false;
+  readonly #shutdown = new Shutdown();
 
   /** Whether utilization exceeded the threshold at the last measurement. */
   #processorShort = false;
 
   #startedMs = Infinity;
 
-  /** Latest end of the process, monotonic, in ms; `Infinity` until callers had time to move elsewhere. */
-  #stopDeadlineMs = Infinity;
-
   constructor(cfg: NodeConfig, options: EntryNodeOptions) {
     this.#cfg = cfg;
     this.#options = { clock: systemClock, utilizationMeter: eventLoopMeter(), ...options };
@@ -178,8 +174,7 @@
       log,
       metrics: this.#metrics,
       entryVms: () => this.#peers.sharingBudgets,
-      stopping: () => this.#stopping,
-      stopDeadlineMs: () => this.#stopDeadlineMs,
+      shutdown: this.#shutdown,
     });
     this.#factWatcher = new FactWatcher({
       store,
@@ -203,7 +198,7 @@
       log,
       metrics: this.#metrics,
       ready: () => this.ready,
-      stopping: () => this.#stopping,
+      stopping: () => this.#shutdown.stopping,
       assigned: () => this.#factWatcher.assigned,
       watching: () => this.#factWatcher.healthy,
       sightings: (nowMs) => this.#loadBalancer.loads.flushSightings(nowMs),
@@ -234,7 +229,7 @@
 
   /** Whether this entry VM has the facts it needs and accepts new callers. */
   get ready(): boolean {
-    return this.#view.initialized && !this.#stopping;
+    return this.#view.initialized && !this.#shutdown.stopping;
   }
 
   async start(): Promise<void> {
@@ -258,23 +253,23 @@
 
   /** Shuts down gracefully: callers move to other entry VMs and in-flight requests complete. */
   async stop(): Promise<void> {
-    if (this.#stopping) return;
+    if (this.#shutdown.stopping) return;
     const { log, clock } = this.#options;
     const startedMs = clock().nowMs;
-    const elapsedMs = (): number => clock().nowMs - startedMs;
     log('processStopping', { inFlight: this.#proxy.inFlight });
-    this.#stopping = true;
+    this.#shutdown.begin(this.#cfg.bounds.graceS, startedMs);
     this.#peerSync.sendNow();
     await pause(DRAIN_NOTICE_MS);
-    const graceMs = this.#cfg.bounds.graceS - EXIT_MARGIN_MS;
-    this.#stopDeadlineMs = startedMs + graceMs;
-    while (elapsedMs() < graceMs && !(await this.#isDrained())) await pause(DRAIN_POLL_MS);
+    await this.#drainUntil(this.#shutdown.endMs);
+    const unfinished = this.#proxy.inFlight;
+    this.#proxy.endAll();
+    await this.#drainUntil(this.#shutdown.endMs + LAST_RESPONSES_MS);
     this.#timers.forEach((timer) => clearInterval(timer));
     this.#factWatcher.stop();
     this.#peerSync.stop();
     this.#servers.forEach((server) => server.close());
     this.#pool.close();
-    log('processStopped', { inFlight: this.#proxy.inFlight, tookMs: Math.round(elapsedMs()) });
+    log('processStopped', { unfinished, tookMs: Math.round(clock().nowMs - startedMs) });
   }
 
   /** Applies changed settings. Addresses, failure domain and region take effect at the next start. */
@@ -285,6 +280,12 @@
     this.#options.log('settingsReloaded');
   }
 
+  /** Waits until no caller is connected, at most until `endMs`. */
+  async #drainUntil(endMs: number): Promise<void> {
+    const { clock } = this.#options;
+    while (clock().nowMs < endMs && !(await this.#isDrained())) await pause(DRAIN_POLL_MS);
+  }
+
   /** Closes idle connections. Resolves to true if no caller is connected and no request is in flight. */
   #isDrained(): Promise<boolean> {
     this.#callerServer?.closeIdleConnections();
@@ -334,7 +335,7 @@
 
   /** Starts or stops watching the store, depending on which entry VMs are live and reach the store. */
   #assignWatch(nowMs: number): void {
-    if (this.#stopping || nowMs - this.#startedMs < PEER_DISCOVERY_MS) return;
+    if (this.#shutdown.stopping || nowMs - this.#startedMs < PEER_DISCOVERY_MS) return;
     this.#factWatcher.assign(this.#peers.shouldWatch(nowMs));
   }
 
@@ -355,7 +356,7 @@
       const written = await store.announce(this.#self);
       const listed = await store.peers();
       if (listed.isOk()) this.#peers.addList(listed.value);
-      if ((written.isOk() && listed.isOk()) || this.#stopping) return;
+      if ((written.isOk() && listed.isOk()) || this.#shutdown.stopping) return;
       await pause(ANNOUNCE_RETRY_MS * (0.5 + Math.random()));
     }
   }
--- a/src/transport/requestproxies.ts
+++ b/src/transport/requestproxies.ts
@@ -7,6 +7,7 @@
   FleetView,
   PlacementOutcome,
   Placement,
+  Shutdown,
   LoadBalancer,
   RetryBudget,
 } from '../coordination/index.js';
@@ -67,10 +68,8 @@
   readonly metrics: NodeMetrics;
   /** Number of entry VMs that share the retry budget. */
   readonly entryVms: () => number;
-  /** Whether this entry VM is shutting down; callers are then told to close their connections. */
-  readonly stopping: () => boolean;
-  /** Monotonic time by which new requests must have ended, in ms; `Infinity` unless shutting down. */
-  readonly stopDeadlineMs: () => number;
+  /** While this entry VM shuts down, callers are told to close their connections. */
+  readonly shutdown: Shutdown;
 }
 
 export class RequestProxy {
@@ -80,7 +79,7 @@
 
   readonly #admissionController: AdmissionController;
 
-  #inFlight = 0;
+  readonly #exchanges = new Set<Exchange>();
 
   #placementTimer: NodeJS.Timeout | undefined;
 
@@ -90,7 +89,7 @@
   }
 
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#exchanges.size;
   }
 
   /** Handles a caller's request until it is rejected or queued for admission. */
@@ -119,7 +118,7 @@
       return;
     }
     const leftMs = Math.min(fields.leftMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs);
-    if (arrivedMs + leftMs > this.#options.stopDeadlineMs()) {
+    if (!this.#options.shutdown.mayAccept(leftMs, arrivedMs)) {
       req.resume();
       refuse('stopping', { leftMs });
       return;
@@ -192,6 +191,16 @@
     log('requestNotRun', { request: fields.requestId, code: 'overloaded', ...details });
   }
 
+  /** Ends all requests with a response, before the process exits. */
+  endAll(): void {
+    this.#exchanges.forEach((exchange) =>
+      this.#endWithFailure(
+        exchange,
+        exchange.runs > 0 ? unknownFailure('deadline') : notRunFailure('stopping'),
+      ),
+    );
+  }
+
   /** Tries to place all waiting requests, and repeats this at an interval while any are left. */
   placeWaiting(): void {
     clearTimeout(this.#placementTimer);
@@ -218,7 +227,7 @@
     const { route, fields, arrivedMs, res } = arrival;
     const leftMs = Math.min(fields.leftMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs) - queuedMs;
     const exchange = createExchange(arrival, arrivedMs + leftMs);
-    this.#inFlight += 1;
+    this.#exchanges.add(exchange);
     const { loadBalancer: placer } = this.#options;
     const key = route.affinity ? fields.affinityKey : undefined;
     if (key !== undefined) placer.recordArrival(route, key, arrivedMs);
@@ -251,11 +260,20 @@
       },
       nowMs,
     );
-    if (outcome.type === 'place') this.#startAttempt(exchange, outcome.placement);
-    else this.#onNotPlaced(exchange, outcome);
+    if (outcome.type !== 'place') this.#onNotPlaced(exchange, outcome);
+    else if (this.#mayStart(exchange, outcome.placement, nowMs))
+      this.#startAttempt(exchange, outcome.placement);
+    else this.#onNotPlaced(exchange, { type: 'stopping' });
   }
 
-  #onNotPlaced(exchange: Exchange, outcome: Exclude<PlacementOutcome, { type: 'place' }>): void {
+  #mayStart({ deadlineMs }: Exchange, { hedgeDelayMs }: Placement, nowMs: number): boolean {
+    return this.#options.shutdown.mayStart(hedgeDelayMs, deadlineMs - nowMs, nowMs);
+  }
+
+  #onNotPlaced(
+    exchange: Exchange,
+    outcome: Exclude<PlacementOutcome, { type: 'place' }> | { readonly type: 'stopping' },
+  ): void {
     if (exchange.openAttempts.size > 0) return;
     if (outcome.type === 'wait' && exchange.waiting) return;
     if (outcome.type === 'wait' && this.#waitlist.size < MAX_WAITING) {
@@ -269,6 +287,7 @@
       late: 'overloaded',
       heldOff: 'held_off',
       noServer: 'no_server',
+      stopping: 'stopping',
     } as const;
     const failure = notRunFailure(codes[outcome.type]);
     const waitMs = 'waitMs' in outcome ? outcome.waitMs : 0;
@@ -504,7 +523,7 @@
   #endWithResponse(exchange: Exchange, response: UpstreamResponse): void {
     const { res, req } = exchange;
     if (!this.#settle(exchange, response.status, undefined)) return;
-    writeResponse(req, res, response, this.#options.stopping());
+    writeResponse(req, res, response, this.#options.shutdown.stopping);
   }
 
   #endWithFailure(exchange: Exchange, failure: Failure, waitMs = 0): void {
@@ -516,7 +535,7 @@
   #settle(exchange: Exchange, status: number, failure: Failure | undefined): boolean {
     if (exchange.ended) return false;
     exchange.ended = true;
-    this.#inFlight -= 1;
+    this.#exchanges.delete(exchange);
     clearTimeout(exchange.deadlineTimer);
     if (exchange.waiting) this.#waitlist.remove(exchange);
     exchange.openAttempts.forEach((attempt) => this.#cancelAttempt(exchange, attempt));
@@ -575,7 +594,7 @@
   #sendFailure(res: ServerResponse, failure: Failure, waitMs = 0): void {
     const jitterMs = Math.max(RETRY_AFTER_JITTER_MS, waitMs * RETRY_AFTER_JITTER_RATIO);
     const retryAfterMs = waitMs + Math.random() * jitterMs;
-    writeFailure(res, failure, retryAfterMs, this.#options.stopping());
+    writeFailure(res, failure, retryAfterMs, this.#options.shutdown.stopping);
   }
 
   #now(): number {
