Send hedged attempts on new connections

Cause: an attempt is hedged when its server is overdue, and the hedge took an idle connection. Whatever silences a connection silences others that were open at that time, so the hedge waited like the first.

Change: an attempt beside one that is still open opens a connection of its own. The first attempt, and retries of attempts that have ended, use idle connections as before.

--- a/src/transport/requestproxies.ts
+++ b/src/transport/requestproxies.ts
@@ -363,6 +363,7 @@
         headers,
         body: body !== undefined && body.length > 0 ? body : undefined,
         retryable: route.idempotent,
+        fresh: exchange.openAttempts.size > 1,
       },
       (end) => this.#onAttemptEnd(exchange, attempt, end),
     );
--- a/src/transport/tests/upstreams.test.ts
+++ b/src/transport/tests/upstreams.test.ts
@@ -16,6 +16,7 @@
   headers: {},
   body: undefined,
   retryable: true,
+  fresh: false,
 } as const;
 
 function createUpstream(address: string): Upstream {
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -14,6 +14,8 @@
   readonly body: Buffer | undefined;
   /** Whether the request may be sent again if the server closes the connection meanwhile. */
   readonly retryable: boolean;
+  /** Whether to open a new connection, as idle ones may have stopped responding with an earlier attempt's. */
+  readonly fresh: boolean;
 }
 
 /** A complete response. */
@@ -166,7 +168,9 @@
 
   /** Sends a request. `onEnd` is called once, unless the request is cancelled. */
   send(request: UpstreamRequest, onEnd: (end: UpstreamEnd) => void): UpstreamCall {
-    const connection = this.#acquire(request.retryable);
+    const connection = request.fresh
+      ? new Connection(this.#address, this.#options)
+      : this.#acquire(request.retryable);
     const call = new ActiveCall(connection, this.#options, (end, reusable) => {
       if (reusable) this.#release(connection);
       else connection.destroy();
