Handle SIGHUP from the first evaluated module on

Cause: the handler was registered after all modules had been evaluated and the settings read, some hundred milliseconds on a busy core; until then a SIGHUP ends the process.

What remains: the time in which Node itself starts, before any module of ours is evaluated, can't be covered by the program.

--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** lovagesail-node: an entire entry VM in one process; the platform stores settings and servers. */
+import { takeEarlyHangup } from './hangups.js';
 import { PlatformFacts, platformDialect } from '../../platform/index.js';
 import { NodeConfig } from '../protocol/index.js';
 import { formatIssue } from '../state/index.js';
@@ -16,9 +17,11 @@
   await node.stop();
   await flush();
 });
-onReload(() => {
+const reload = (): void => {
   const reloaded = readConfig(NodeConfig, file);
   if (reloaded.isOk()) node.reload(reloaded.value);
   else log('settingsRejected', { issues: reloaded.error.map(formatIssue) });
-}, file);
+};
+onReload(reload, file);
+if (takeEarlyHangup()) reload();
 await node.start();
