Compile WebAssembly once, without the optimizing tier

What was seen: a node's memory at its peak rose from 84 to 131 MB in the first seconds under load, and fell back to 98 MB; memory is priced at its peak.

Cause: V8 compiles the parser of undici, which is WebAssembly, a second time with its optimizing compiler. That takes over 30 MB and a quarter of the process's work under light load. /proc/PID/smaps showed the memory in the arena of a compiler thread; the JavaScript heap was 30 MB.

Change: `--liftoff-only`, which both x86-64 and arm64 have.

--- a/soak/nodeprocesses.ts
+++ b/soak/nodeprocesses.ts
@@ -10,7 +10,12 @@
 const PROGRAM_PATH = 'target/lovagesail-node.js';
 
 /** The flags set in deploy/system.toml. */
-const NODE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=2', '--single-threaded-gc'];
+const NODE_FLAGS = [
+  '--max-old-space-size=160',
+  '--max-semi-space-size=2',
+  '--single-threaded-gc',
+  '--liftoff-only',
+];
 
 /** Memory of the smallest supported VM, in kilobytes. */
 const MAX_MEMORY_KB = 250_000;
