Prefer servers for an object in the order of their rank

The 20 servers that are compared for a request were ranked alike on all entry VMs, but what the home server could not take went to the nearest idle one of them: a test with 300 servers in two failure domains, 24 requests on one object, shared 1 server of 8 between the VMs of the two domains, and each other server ran the object cold. Each rank now keeps 0.7 of the home's cost advantage: at least half are shared.

--- a/src/coordination/loadbalancers.ts
+++ b/src/coordination/loadbalancers.ts
@@ -83,8 +83,9 @@
 /** Multiple of the usual execution time after which a request is overdue. */
 const HEDGE_DELAY_FACTOR = 1.7;
 
-/** Cost advantage of a key's home server, in milliseconds. */
+/** Cost advantage of a key's home server, in milliseconds, and the part of it that each further rank keeps. */
 const HOME_SERVER_BONUS_MS = 30;
+const RANK_BONUS_RATIO = 0.7;
 
 /** Requests that may queue at a server for each of its slots, by urgency. */
 const URGENT_QUEUE_PER_SLOT = 0.8;
@@ -318,9 +319,11 @@
       ...this.#shorten(inDomain, MAX_CANDIDATES / 2, nowMs),
       ...this.#shorten(ranked, MAX_CANDIDATES, nowMs),
     ]);
-    return [...shortlist].map((server) =>
-      this.#candidate(request, server, server === homeServer, nowMs),
-    );
+    const ranks = new Map(ranked.map((server, rank) => [server, rank]));
+    return [...shortlist].map((server) => {
+      const rank = server === homeServer ? 0 : (ranks.get(server) ?? 0) + 1;
+      return this.#candidate(request, server, key === undefined ? Infinity : rank, nowMs);
+    });
   }
 
   /** The first `count` servers that are not cold, and the cold ones between them. */
@@ -403,9 +406,10 @@
   #candidate(
     request: PlacementRequest,
     server: KnownServer,
-    isHome: boolean,
+    rank: number,
     nowMs: number,
   ): Candidate {
+    const isHome = rank === 0;
     const { record } = server;
     const load = this.load(record.id);
     const estimate = this.#estimates.get(request.route);
@@ -429,7 +433,7 @@
       expectedMs +
       transferMs +
       load.failureRate(nowMs) * FAILURE_COST_MS -
-      (isHome ? HOME_SERVER_BONUS_MS : 0);
+      HOME_SERVER_BONUS_MS * RANK_BONUS_RATIO ** rank;
     const meetsAffinity = warm || isHome || request.key === undefined;
     return {
       server,
