Accept stale objects in the first lists of a process

What it cost: each VM lists the plan, the servers in pages and the evacuations when it starts, at the full price of a store's call, and again whenever many VMs restart together.

Change: a kind's first list accepts objects that are seconds old, which the platform charges a tenth for and does not count towards its rate. What changed since then comes by the watch from the list's revision, or from other VMs that are ahead. A list that replaces a watch (changes missed, history gone) stays linearizable.

--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -38,10 +38,17 @@
   | 'unreadable'
   | 'conflict';
 
+export interface ListOptions {
+  /** Aborts the call. */
+  readonly signal?: AbortSignal | undefined;
+  /** Whether facts that are seconds old are enough, which costs the store less. @default false */
+  readonly mayBeStale?: boolean;
+}
+
 /** Interface to the platform's store. */
 export interface FactStore {
-  /** Lists all facts of a kind. The signal aborts the call. */
-  list(kind: FactKind, signal?: AbortSignal): Promise<Result<FactBatch, StoreFailure>>;
+  /** Lists all facts of a kind. */
+  list(kind: FactKind, options?: ListOptions): Promise<Result<FactBatch, StoreFailure>>;
   /**
    * Long-polls for facts that are newer than a revision.
    *
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -75,6 +75,9 @@
 
   readonly #ledger = new RevisionTracker();
 
+  /** Kinds that were listed at least once. */
+  readonly #listedKinds = new Set<FactKind>();
+
   /** Kinds to list again, because their watch may have missed a change. */
   readonly #relistKinds = new Set<FactKind>();
 
@@ -213,7 +216,11 @@
 
   async #list(kind: FactKind, { signal }: AbortController): ReturnType<FactStore['list']> {
     const calledMs = this.#now();
-    const batch = await this.#options.store.list(kind, signal);
+    // The watch or the other entry VMs bring what changed since a stale list, but a list that replaces a
+    // watch has to show what the watch missed.
+    const mayBeStale = !this.#listedKinds.has(kind);
+    const batch = await this.#options.store.list(kind, { signal, mayBeStale });
+    if (batch.isOk()) this.#listedKinds.add(kind);
     if (signal.aborted && batch.isErr()) return batch;
     this.#recordResult(kind, batch.isErr() ? batch.error : undefined, calledMs);
     if (batch.isOk()) {
--- a/src/transport/tests/factwatches.test.ts
+++ b/src/transport/tests/factwatches.test.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'ts-results-es';
 import { FleetView } from '../../coordination/index.js';
 import type { FactKind } from '../../coordination/index.js';
-import type { FactBatch, FactStore, StoreFailure } from '../../protocol/index.js';
+import type { FactBatch, FactStore, ListOptions, StoreFailure } from '../../protocol/index.js';
 import { pause, systemClock } from '../clocks.js';
 import { FactWatcher } from '../factwatches.js';
 import { NodeMetrics } from '../nodemetrics.js';
@@ -35,7 +35,7 @@
 class ScriptedStore implements FactStore {
   readonly calls: PendingCall[] = [];
 
-  list(kind: FactKind, signal?: AbortSignal): Promise<StoreResult> {
+  list(kind: FactKind, { signal }: ListOptions = {}): Promise<StoreResult> {
     return this.#addCall(`list ${kind}`, signal);
   }
 
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -65,6 +65,12 @@
 
   #revision = 1;
 
+  /** Kinds of the lists that accepted stale objects, in order. */
+  readonly staleReads: string[] = [];
+
+  /** The objects and the revision that lists which accept stale objects return. */
+  #staleState: { objects: Map<string, readonly StoreObject[]>; revision: number } | undefined;
+
   /** JSON texts that are sent in place of objects, by the objects' names. */
   readonly rawTexts = new Map<string, string>();
 
@@ -112,6 +118,13 @@
     this.#recordChange({ kind, object: { ...object, Metadata }, deleted: true });
   }
 
+  /** Lets lists that accept stale objects return the present ones from now on. */
+  freezeStaleReads(): void {
+    const kinds = [...this.#objects.keys()];
+    const objects = new Map(kinds.map((kind) => [kind, this.objects(kind)]));
+    this.#staleState = { objects, revision: this.#revision };
+  }
+
   /** Drops the history of changes. Watches that start at an older revision receive 410. */
   dropHistory(): void {
     this.#changes = [];
@@ -156,12 +169,16 @@
       return;
     }
     const after = searchParams.get('after') ?? '';
-    const remaining = this.objects(kind).filter((object) => object.Metadata.Name > after);
+    const isStale = searchParams.has('Serializable');
+    if (isStale) this.staleReads.push(kind);
+    const state = isStale ? this.#staleState : undefined;
+    const objects = state?.objects.get(kind) ?? (state === undefined ? this.objects(kind) : []);
+    const remaining = objects.filter((object) => object.Metadata.Name > after);
     const items = remaining.slice(0, this.pageSize);
     this.#sendObjects(res, {
       items,
       More: remaining.length > items.length,
-      CurrentRev: this.#revision,
+      CurrentRev: state?.revision ?? this.#revision,
     });
   }
 
