Wait for the changes before fetching them

An entry VM that had the changes sent its heartbeat, and another read it before the watcher's datagram, found itself behind and fetched at once. It now waits 150 ms for the datagram, watchers 500 ms as before, and a timer ends the wait where the next heartbeat would have.

--- a/src/transport/peersyncs.ts
+++ b/src/transport/peersyncs.ts
@@ -48,6 +48,9 @@
 /** Time that a watcher waits for its store to deliver facts that another entry VM already has. */
 const WATCH_LAG_MS = 500;
 
+/** Time that the others wait for the datagram with the changes, which may be behind another entry VM's heartbeat. */
+const CHANGES_LAG_MS = 150;
+
 /** Timeout of a request for another entry VM's facts. */
 const FACTS_TIMEOUT_MS = 1_000;
 
@@ -114,6 +117,9 @@
 
   #fetching = false;
 
+  /** Checks again when the time for facts to arrive otherwise is over. */
+  #catchUpTimer: NodeJS.Timeout | undefined;
+
   /** Revisions up to which `sendChanges` has sent all changes. */
   #sentRevisions: Revisions = { plan: 0, servers: 0, evacuations: 0 };
 
@@ -169,6 +175,7 @@
 
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#catchUpTimer);
     this.#socket.close();
     this.#server.close();
   }
@@ -275,20 +282,23 @@
     this.#options.onLiveChanged();
   }
 
-  /** Fetches newer facts from another entry VM. A watcher first waits for its store to deliver them. */
+  /** Fetches newer facts from another entry VM if they have not arrived otherwise within a short time. */
   #catchUp(nowMs: number): void {
-    const { peers, view, assigned } = this.#options;
+    const { peers, view, assigned, log } = this.#options;
+    clearTimeout(this.#catchUpTimer);
     const newerPeer = peers.findNewer(view.revisions, nowMs);
     if (newerPeer === undefined) {
       this.#behindSinceMs = undefined;
       return;
     }
-    if (this.#behindSinceMs === undefined) {
-      this.#behindSinceMs = nowMs;
-      this.#options.log('factsBehind', { peer: newerPeer.id, revisions: view.revisions });
+    this.#behindSinceMs ??= nowMs;
+    const dueMs = this.#behindSinceMs + (assigned() ? WATCH_LAG_MS : CHANGES_LAG_MS);
+    if (nowMs < dueMs) {
+      this.#catchUpTimer = setTimeout(() => this.#catchUp(this.#now()), Math.ceil(dueMs - nowMs));
+    } else if (!this.#fetching) {
+      log('factsBehind', { peer: newerPeer.id, revisions: { ...view.revisions } });
+      this.#fetchFacts(newerPeer, view.revisions);
     }
-    const graceMs = assigned() ? WATCH_LAG_MS : 0;
-    if (nowMs - this.#behindSinceMs >= graceMs) this.#fetchFacts(newerPeer, view.revisions);
   }
 
   /** Merges facts of another entry VM. @returns whether any of them was new. */
@@ -317,7 +327,6 @@
   }
 
   async #fetchFacts(peer: PeerRecord, knownRevisions: Revisions): Promise<void> {
-    if (this.#fetching) return;
     this.#fetching = true;
     const { peers, log, metrics } = this.#options;
     try {
