Tell a stall of the process from overload

What callers saw: after one long turn of the event loop (a stall of the VM, a core's quota used up) the next few concurrent requests got 503 `overloaded` although the process was idle.

Cause: the time per request was a moving average over batches, and a single batch of 100 ms beside ones of 2 ms raised it to 22 ms, so that five requests looked like 108 ms of waiting where 100 are allowed.

Change: the median of the last three batches enters the average; two long batches of three count.

The five tests of floods, on sockets, are green: overload is still seen.

--- a/src/coordination/admissionqueues.ts
+++ b/src/coordination/admissionqueues.ts
@@ -26,6 +26,9 @@
 /** Weight of the latest batch in the moving average of the time per request. */
 const EWMA_WEIGHT = 0.2;
 
+/** Number of batches whose median enters the average: a single stall of the process is not overload. */
+const MEDIAN_BATCHES = 3;
+
 export class AdmissionQueue<Item> {
   #queue: QueuedRequest<Item>[] = [];
 
@@ -34,6 +37,9 @@
   /** Moving average of the time to start one request while others wait, in milliseconds. */
   #msPerRequest = 0;
 
+  /** Time per request of the latest batches, the newest last. */
+  #recentMsPerRequest: readonly number[] = [];
+
   get size(): number {
     return this.#queue.length;
   }
@@ -75,7 +81,12 @@
     this.#queue.forEach((request) => {
       request.skipped = true;
     });
-    if (started > 0) this.#msPerRequest += EWMA_WEIGHT * (elapsedMs / started - this.#msPerRequest);
+    if (started === 0) return;
+    this.#recentMsPerRequest = [...this.#recentMsPerRequest, elapsedMs / started].slice(
+      -MEDIAN_BATCHES,
+    );
+    const median = lowerMedian(this.#recentMsPerRequest);
+    this.#msPerRequest += EWMA_WEIGHT * (median - this.#msPerRequest);
   }
 
   /** Index of the oldest request of the most urgent priority; at intervals of the oldest of all. */
@@ -90,6 +101,12 @@
   }
 }
 
+/** The middle value, the lower of two. */
+function lowerMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
 function maxWaitMs(priority: number): number {
   return MAX_WAIT_MS / (1 + priority);
 }
