Let reports of live entry VMs age within a region

Found by reading the change of watchers by region: an entry VM that has died stays live for 2.5 s at its own failure domain, was reported from there to the others of the region for another 2.5 s, and from them to other regions for 2.5 s more, 7.5 s in which look-ups of callers without an entry VM of their own could name it.

Change: the word of a peer of the region counts as 1.5 s old, so that a report ends after 1 s without a new one; what an entry VM hears itself is not replaced by an older report.

Evidence: a test without a network, red with an age of 0 (still live 3.6 s after its last heartbeat).

--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -65,6 +65,12 @@
 /** Time without a heartbeat after which an entry VM counts as dead. */
 const HEARTBEAT_TIMEOUT_MS = 2_500;
 
+/**
+ * Age at which the word of a peer of the region counts for others of its failure domain. Without it, one that
+ * has died would be reported from domain to domain and then from region to region for as long each time.
+ */
+const REPORTED_AGE_MS = 1_500;
+
 /** Time before facts are fetched again from an entry VM after a failure. */
 const FETCH_RETRY_DELAY_MS = 1_000;
 
@@ -145,7 +151,8 @@
       revisions,
       lastHeartbeatMs: nowMs,
     });
-    this.#recordVouched(near, nowMs);
+    const ageMs = peer.region === this.#self.region ? REPORTED_AGE_MS : 0;
+    this.#recordReported(near, nowMs - ageMs, nowMs);
     return !wasLive;
   }
 
@@ -153,12 +160,13 @@
    * Records entry VMs of another failure domain as live because a peer there reports them. One that
    * announced itself that it stops stays so until it has been silent.
    */
-  #recordVouched(ids: readonly EntryVmId[], nowMs: number): void {
+  #recordReported(ids: readonly EntryVmId[], heardMs: number, nowMs: number): void {
     ids.forEach((id) => {
       const known = this.#peers.get(id);
       if (known === undefined || known.record.failureDomain === this.#self.failureDomain) return;
       if (known.stopping && isLive(known, nowMs)) return;
-      Object.assign(known, { lastHeartbeatMs: nowMs, ready: true, stopping: false });
+      if (heardMs <= known.lastHeartbeatMs) return;
+      Object.assign(known, { lastHeartbeatMs: heardMs, ready: true, stopping: false });
     });
   }
 
--- a/src/coordination/tests/watchers.test.ts
+++ b/src/coordination/tests/watchers.test.ts
@@ -117,6 +117,20 @@
   expect(view.live(4_600)).not.to.include(stopping);
 });
 
+// Guards against look-ups that name an entry VM long after its end, since others keep reporting it.
+it('an entry VM that has died is not reported from domain to domain for the whole silence again', () => {
+  const [self, mate, dead] = VMS as [EntryVmId, EntryVmId, EntryVmId];
+  const inDomain = new PeerView(heartbeatOf(mate, 'a2').peer);
+  const elsewhere = new PeerView(heartbeatOf(self, 'a1').peer);
+  [inDomain, elsewhere].forEach((view) => view.recordHeartbeat(heartbeatOf(dead, 'a2'), 0));
+  for (let nowMs = 100; nowMs <= 6_000; nowMs += 100) {
+    const near = inDomain.readyInDomain(nowMs, true);
+    elsewhere.recordHeartbeat(heartbeatOf(mate, 'a2', { near }), nowMs);
+  }
+  expect(inDomain.live(2_600)).not.to.include(dead);
+  expect(elsewhere.live(3_600)).not.to.include(dead);
+});
+
 // Guards against late facts: a peer that does not respond must not be chosen for every fetch.
 it('a peer that failed to provide its facts is not chosen again at once', () => {
   const [self, near, far] = VMS as [EntryVmId, EntryVmId, EntryVmId];
