End no process over a request target that is no URL

What could be seen: a request like `GET //` to the port of the look-ups, the readiness, the metrics or the other entry VMs ended the whole process.

Cause: `new URL` throws on such targets, outside any handler.

Change: `splitTarget` splits path and query without parsing a URL.

--- a/src/transport/httpservers.ts
+++ b/src/transport/httpservers.ts
@@ -58,17 +58,26 @@
   server.headersTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs + IDLE_MARGIN_MS;
 }
 
+/** Splits a request's target, which need not be a valid URL. */
+export function splitTarget(target: string): {
+  readonly path: string;
+  readonly query: URLSearchParams;
+} {
+  const [path = '', ...rest] = target.split('?');
+  return { path, query: new URLSearchParams(rest.join('?')) };
+}
+
 /**
  * Serves one path, and 404 elsewhere. Plain `http`: a web framework would take a tenth of the
  * memory and of the start-up time of the process.
  */
 function createPathServer(
   path: string,
-  respond: (url: URL, res: ServerResponse) => Promise<void> | void,
+  respond: (query: URLSearchParams, res: ServerResponse) => Promise<void> | void,
 ): Server {
   return http.createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://entry-vm');
-    if (url.pathname === path) respond(url, res);
+    const target = splitTarget(req.url ?? '/');
+    if (target.path === path) respond(target.query, res);
     else res.writeHead(404).end();
   });
 }
@@ -79,8 +88,8 @@
   lookup: (origin: LookupOrigin) => unknown,
   address: Endpoint,
 ): Promise<Server> {
-  const server = createPathServer(dialect.lookupPath, ({ searchParams }, res) => {
-    const body = JSON.stringify(lookup(dialect.parseLookupFields(searchParams)));
+  const server = createPathServer(dialect.lookupPath, (query, res) => {
+    const body = JSON.stringify(lookup(dialect.parseLookupFields(query)));
     res.writeHead(200, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
@@ -96,7 +105,7 @@
   ready: () => boolean,
   address: Endpoint,
 ): Promise<Server> {
-  const server = createPathServer(dialect.readyPath, (_url, res) => {
+  const server = createPathServer(dialect.readyPath, (_query, res) => {
     const isReady = ready();
     res.writeHead(isReady ? 200 : 503, { 'content-type': 'text/plain' });
     res.end(isReady ? 'ready\n' : 'not ready\n');
@@ -107,7 +116,7 @@
 /** Serves the metrics in the Prometheus format. */
 export function startMetricsServer(metrics: NodeMetrics, address: Endpoint): Promise<Server> {
   const { registry } = metrics;
-  const server = createPathServer('/metrics', async (_url, res) => {
+  const server = createPathServer('/metrics', async (_query, res) => {
     const body = await registry.metrics();
     res.writeHead(200, { 'content-type': registry.contentType });
     res.end(body);
--- a/src/transport/peersyncs.ts
+++ b/src/transport/peersyncs.ts
@@ -27,6 +27,7 @@
 import type { Logger } from './logs.js';
 import type { NodeMetrics } from './nodemetrics.js';
 import { splitEndpoint } from './agentrpcs.js';
+import { splitTarget } from './httpservers.js';
 
 /** Heartbeat interval: four heartbeats fit into the silence after which an entry VM counts as dead. */
 const HEARTBEAT_INTERVAL_MS = 600;
@@ -128,11 +129,11 @@
     this.#socket.on('message', (bytes) => this.#onDatagram(bytes));
     this.#socket.on('error', (err) => options.log('peerFailed', { reason: err.message }));
     this.#server = http.createServer((req, res) => {
-      const url = new URL(req.url ?? '/', 'http://peer');
-      if (url.pathname !== FACTS_PATH) res.writeHead(404).end();
+      const { path, query } = splitTarget(req.url ?? '/');
+      if (path !== FACTS_PATH) res.writeHead(404).end();
       else {
         res.writeHead(200, { 'content-type': 'application/json' });
-        res.end(JSON.stringify(options.view.snapshot(queryToRevisions(url.searchParams))));
+        res.end(JSON.stringify(options.view.snapshot(queryToRevisions(query))));
       }
     });
   }
