Send changes since the revisions that preceded them

Cause: a watcher sent the changes since the revisions of its last such message. What it had merged from others meanwhile, above all a whole list in its first seconds, moved the start of its log of changes beyond those, so it sent no changes at all, and each VM of the region waited and fetched.

Change: the watch passes on the revisions from just before the change. The tests start once all VMs have the same revisions: one that had listed at another revision gets a whole list first, which is right and not what they are about; their conditions are as they were.

--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -183,9 +183,9 @@
       log,
       metrics: this.#metrics,
       onServerGone: (id) => this.#removeServer(id),
-      onChange: () => {
+      onChange: (before) => {
         this.#applyPlanLimits();
-        this.#peerSync.sendChanges();
+        this.#peerSync.sendChanges(before);
       },
     });
     this.#peerSync = new PeerSync({
--- a/src/transport/factwatches.ts
+++ b/src/transport/factwatches.ts
@@ -1,6 +1,6 @@
 /** Lists and watches the facts in the platform's store and applies them to the entry VM's view. */
 import { FACT_KINDS, RevisionTracker } from '../coordination/index.js';
-import type { FactKind, FleetView } from '../coordination/index.js';
+import type { FactKind, FleetView, Revisions } from '../coordination/index.js';
 import type { Fact, FactBatch, FactStore, StoreFailure } from '../protocol/index.js';
 import type { BackendServerId, SteeringPlan } from '../state/index.js';
 import type { Clock } from './clocks.js';
@@ -59,8 +59,8 @@
   readonly metrics: NodeMetrics;
   /** Called for each backend server that was removed. */
   readonly onServerGone: (server: BackendServerId) => void;
-  /** Called when facts have changed. */
-  readonly onChange: () => void;
+  /** Called when facts have changed, with the revisions before. */
+  readonly onChange: (before: Revisions) => void;
 }
 
 export class FactWatcher {
@@ -254,6 +254,7 @@
     // Another entry VM has sent newer facts meanwhile, which an older list would overwrite.
     if (batch.revision < view.revisions[kind]) return;
     const nowMs = this.#now();
+    const revisionsBefore = { ...view.revisions };
     const records = batch.facts.flatMap((fact) => (fact.type === 'server' ? [fact.record] : []));
     const domains = batch.facts.flatMap((fact) =>
       fact.type === 'evacuation' && fact.active ? [fact.domain] : [],
@@ -281,15 +282,16 @@
     // Objects may have been removed after the newest one was written, so the list's revision counts.
     view.advanceRevision(kind, batch.revision);
     log('factsListed', { kind, revision: batch.revision, count: batch.facts.length });
-    this.#options.onChange();
+    this.#options.onChange(revisionsBefore);
   }
 
   #applyChanges(kind: FactKind, batch: FactBatch, calledMs: number): void {
     const { view } = this.#options;
     if (batch.facts.length === 0) return;
+    const revisionsBefore = { ...view.revisions };
     batch.facts.forEach((fact) => this.#applyFact(fact, batch, calledMs));
     view.advanceRevision(kind, Math.max(0, ...batch.changes));
-    this.#options.onChange();
+    this.#options.onChange(revisionsBefore);
   }
 
   #applyFact(fact: Fact, { revision }: FactBatch, calledMs: number): void {
--- a/src/transport/peersyncs.ts
+++ b/src/transport/peersyncs.ts
@@ -121,9 +121,6 @@
   /** Checks again when the time for facts to arrive otherwise is over. */
   #catchUpTimer: NodeJS.Timeout | undefined;
 
-  /** Revisions up to which `sendChanges` has sent all changes. */
-  #sentRevisions: Revisions = { plan: 0, servers: 0, evacuations: 0 };
-
   constructor(options: PeerSyncOptions) {
     this.#options = options;
     this.#socket.on('message', (bytes) => this.#onDatagram(bytes));
@@ -155,11 +152,9 @@
     this.#sendHeartbeats();
   }
 
-  /** Sends the changes since the last call to the region immediately. */
-  sendChanges(): void {
+  /** Sends the changes since the given revisions to the region immediately. */
+  sendChanges(since: Revisions): void {
     const { self, peers, view } = this.#options;
-    const since = this.#sentRevisions;
-    this.#sentRevisions = { ...view.revisions };
     const heartbeat = this.#heartbeat();
     const snapshot = view.snapshot(since);
     const whole = snapshot.gone === undefined;
