Pass on no status that promises what a server did not say

Cause: a signed response below 500 was delivered before the set of statuses that must not be passed on was asked. Ruled out: a second attempt of our own, since the two runs of an order have two request ids.

Change: `isFailureStatus` says once what counts as a server's failure: 500 and above, 408, 421, 429. Such a response is retried if the request may run again; otherwise its caller gets 504, outcome unknown, since the server said nothing else. The same question for a server's health is asked in the same place now: a server that fails with 429 counted as sound.

--- a/src/coordination/attempts.ts
+++ b/src/coordination/attempts.ts
@@ -44,6 +44,11 @@
  */
 export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, UNAVAILABLE]);
 
+/** Whether a server that responds with this status has failed the request. */
+export function isFailureStatus(status: number): boolean {
+  return status >= SERVER_ERROR || NOT_EXECUTED_STATUSES.has(status);
+}
+
 /** Decides the next step. The retry budget may still deny a retry with `paid` set. */
 export function decideAfterAttempt(end: AttemptOutcome, progress: AttemptProgress): RetryDecision {
   const { idempotent, runs, tries, maxAttempts, hasOpenAttempts } = progress;
@@ -52,7 +57,7 @@
     hasOpenAttempts ? { type: 'wait' } : decision;
   switch (end.type) {
     case 'answered':
-      if (end.genuine && end.status < SERVER_ERROR) return { type: 'deliver' };
+      if (end.genuine && !isFailureStatus(end.status)) return { type: 'deliver' };
       if (idempotent && mayRetry) return { type: 'again', paid: true };
       if (hasOpenAttempts) return { type: 'wait' };
       return end.genuine && !NOT_EXECUTED_STATUSES.has(end.status)
--- a/src/coordination/tests/attempts.test.ts
+++ b/src/coordination/tests/attempts.test.ts
@@ -32,9 +32,22 @@
   expect(verdict({ type: 'lost' }, { runs: 2, tries: 2 })).to.equal('unknown');
 });
 
-it('a 503 from a server that ran a non-idempotent request gives the outcome unknown', () => {
-  const response = { type: 'answered', status: 503, genuine: true } as const;
-  expect(verdict(response, { idempotent: false })).to.equal('unknown');
+// Guards against callers that repeat a request which has run, since its server failed it with a status that
+// promises the opposite.
+it('a status that promises that a request did not run gives the outcome unknown', () => {
+  [408, 421, 429, 503].forEach((status) => {
+    const response = { type: 'answered', status, genuine: true } as const;
+    expect(verdict(response, { idempotent: false }), `${status}`).to.equal('unknown');
+    expect(verdict(response, { runs: 2, tries: 2 }), `${status}`).to.equal('unknown');
+  });
+});
+
+it('an idempotent request that its server failed with such a status is retried', () => {
+  [408, 429, 503].forEach((status) => {
+    const response = { type: 'answered', status, genuine: true } as const;
+    expect(verdict(response), `${status}`).to.equal('again');
+    expect(verdict(response, { runs: 2, hasOpenAttempts: true }), `${status}`).to.equal('wait');
+  });
 });
 
 it('a retry after a failed connection does not use the retry budget', () => {
--- a/src/transport/exchanges.ts
+++ b/src/transport/exchanges.ts
@@ -1,6 +1,6 @@
 /** State of a caller's request in the proxy, and the classification of its attempts' results. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { NOT_EXECUTED_STATUSES } from '../coordination/index.js';
+import { NOT_EXECUTED_STATUSES, isFailureStatus } from '../coordination/index.js';
 import type { AttemptOutcome, FleetView, Placement, HealthOutcome } from '../coordination/index.js';
 import type { CallerFields, Dialect, ServerFields } from '../protocol/index.js';
 import type { BackendServerId, Fingerprint, RoutePlan, ServiceName } from '../state/index.js';
@@ -106,7 +106,7 @@
 /** Maps an attempt's result to what it says about the server's health. */
 export function toRunEnd(result: AttemptOutcome): HealthOutcome {
   if (result.type === 'answered') {
-    return result.genuine && result.status < 500 ? 'served' : 'failed';
+    return result.genuine && !isFailureStatus(result.status) ? 'served' : 'failed';
   }
   return result.type === 'lost' ? 'failed' : result.type;
 }
