Keep the evidence of refused content in the store across restarts

Cause: the evidence was in the memory of the entry VMs and their heartbeats alone. Evidence: a VM that restarts alone refuses the content (the others tell it), all together don't. Ruled out: servers' new identities, since the content stays refused before the restart while servers come back.

Change: `CrashArchive`. Entry VMs that saw a crash of content that is refused write it to the store, as objects of a kind of our own; every VM lists them when it starts, stale data allowed, and the watchers list them afresh. Any three crashes refuse the content, so writers need not agree. The writer alone tries the content later and removes the object when it has run to an end or is 30 minutes old. Calls: one list at a tenth of the price for each start, one full list for each watcher, two calls for each crash of refused content at the VM that saw it, none in calm.

--- a/src/coordination/crashquarantines.ts
+++ b/src/coordination/crashquarantines.ts
@@ -5,9 +5,11 @@
  * them that are disproved since the content ran to an end. Both sets only grow, so evidence merges by union
  * in any order. Content is quarantined after `CRASHES_TO_QUARANTINE` crashes that are not disproved. Later
  * an entry VM that saw one of them lets a single request through: if it ends well, the content is released.
+ * The evidence of quarantined content also goes to a store, for entry VMs that all restart at once.
  */
 import { hashText } from '../state/index.js';
 import type { BackendServerRecord, EntryVmId, Fingerprint } from '../state/index.js';
+import type { Instant } from './callhandlers.js';
 
 /** Evidence about one content, as entry VMs exchange it. */
 export interface CrashReport {
@@ -20,6 +22,17 @@
   readonly ageMs: number;
 }
 
+/** Evidence of quarantined content that outlasts the entry VMs. */
+export interface StoredCrashes {
+  readonly fingerprint: Fingerprint;
+  /** Crashes that are not disproved. */
+  readonly crashes: readonly string[];
+  /** The entry VM that wrote this and saw one of the crashes itself. */
+  readonly observer: EntryVmId;
+  /** Time of the last crash by the wall clock, in Unix milliseconds. */
+  readonly lastCrashWallMs: number;
+}
+
 export type ContentVerdict =
   | { readonly type: 'allow' }
   /** The content is quarantined, and this request may test whether it still crashes servers. */
@@ -40,6 +53,10 @@
   lastCrashMs: number;
   /** Whether this entry VM saw one of the crashes itself. */
   observed: boolean;
+  /** Whether it saw one since it last wrote the evidence to the store. */
+  unsaved: boolean;
+  /** Whether the store holds what this entry VM has written. */
+  saved: boolean;
   /** When this entry VM last let a request through as a trial. */
   lastTrialMs: number;
   /** Rounds of heartbeats that still carry this record. */
@@ -122,7 +139,7 @@
     const report = { fingerprint, crashes: [process], disproved: [], ageMs: 0 };
     const change = this.#apply(report, nowMs);
     const record = this.#records.get(fingerprint);
-    if (record !== undefined) record.observed = true;
+    if (record !== undefined) Object.assign(record, { observed: true, unsaved: true });
     return change;
   }
 
@@ -163,10 +180,55 @@
     );
   }
 
-  /** Forgets evidence that is too old. */
+  /** Forgets evidence that is too old, once the store no longer holds it. */
   tick(nowMs: number): void {
-    this.#records.forEach(({ lastCrashMs }, fingerprint) => {
-      if (nowMs - lastCrashMs > EVIDENCE_TTL_MS) this.#records.delete(fingerprint);
+    this.#records.forEach((record, fingerprint) => {
+      if (isExpired(record, nowMs) && !record.saved) this.#records.delete(fingerprint);
+    });
+  }
+
+  /** Evidence to write to the store: quarantined content of which this entry VM saw a crash since it last wrote. */
+  unsavedCrashes({ nowMs, wallMs }: Instant): readonly StoredCrashes[] {
+    return this.#quarantinedRecords()
+      .filter((record) => record.unsaved && !isExpired(record, nowMs))
+      .map(({ fingerprint, crashes, disproved, lastCrashMs }) => ({
+        fingerprint,
+        crashes: crashes.filter((process) => !disproved.includes(process)),
+        observer: this.#self,
+        lastCrashWallMs: Math.round(wallMs - (nowMs - lastCrashMs)),
+      }));
+  }
+
+  /** Records that evidence was written to the store. */
+  recordSaved({ fingerprint, crashes }: StoredCrashes): void {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined) return;
+    record.saved = true;
+    record.unsaved = hasNew(record.crashes, [...crashes, ...record.disproved]);
+  }
+
+  /** Content whose evidence this entry VM has written to the store and that is no longer refused. */
+  obsoleteCrashes(nowMs: number): readonly Fingerprint[] {
+    return [...this.#records.values()]
+      .filter((record) => record.saved && (!isQuarantined(record) || isExpired(record, nowMs)))
+      .map(({ fingerprint }) => fingerprint);
+  }
+
+  /** Records that evidence was removed from the store. */
+  recordRemoved(fingerprint: Fingerprint): void {
+    const record = this.#records.get(fingerprint);
+    if (record !== undefined) record.saved = false;
+  }
+
+  /** Adopts evidence from the store, which may be this entry VM's own from before a restart. */
+  restore(stored: readonly StoredCrashes[], { nowMs, wallMs }: Instant): readonly ContentChange[] {
+    return stored.flatMap(({ fingerprint, crashes, observer, lastCrashWallMs }) => {
+      const ageMs = Math.max(0, wallMs - lastCrashWallMs);
+      const change = this.#apply({ fingerprint, crashes, disproved: [], ageMs }, nowMs);
+      const record = this.#records.get(fingerprint);
+      if (record !== undefined && observer === this.#self)
+        Object.assign(record, { observed: true, saved: true });
+      return change ?? [];
     });
   }
 
@@ -200,6 +262,8 @@
       disproved: [],
       lastCrashMs: -Infinity,
       observed: false,
+      unsaved: false,
+      saved: false,
       lastTrialMs: -Infinity,
       roundsLeft: 0,
     };
@@ -220,6 +284,15 @@
   }
 }
 
+function isExpired({ lastCrashMs }: ContentRecord, nowMs: number): boolean {
+  return nowMs - lastCrashMs > EVIDENCE_TTL_MS;
+}
+
+/** Whether evidence in the store is too old to count. */
+export function isOutdated({ lastCrashWallMs }: StoredCrashes, { wallMs }: Instant): boolean {
+  return wallMs - lastCrashWallMs > EVIDENCE_TTL_MS;
+}
+
 const HASH_RANGE = 2 ** 32;
 
 function provenCrashes({ crashes, disproved }: ContentRecord): number {
--- a/src/coordination/tests/crashquarantines.test.ts
+++ b/src/coordination/tests/crashquarantines.test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 import type { EntryVmId, Fingerprint } from '../../state/index.js';
 import { CrashQuarantine, MAX_CRASHES_KEPT, MAX_CRASH_REPORTS } from '../crashquarantines.js';
-import type { CrashReport } from '../crashquarantines.js';
+import type { CrashReport, StoredCrashes } from '../crashquarantines.js';
+import type { Instant } from '../callhandlers.js';
 
 const CONTENT = 'c'.repeat(32) as Fingerprint;
 const OTHER = 'd'.repeat(32) as Fingerprint;
@@ -110,6 +111,82 @@
   }
 });
 
+/** Wall-clock time at the monotonic time 0, in Unix milliseconds. */
+const EPOCH_MS = 1_771_085_769_493;
+
+function instantAt(nowMs: number, clockErrorMs = 0): Instant {
+  return { nowMs, wallMs: EPOCH_MS + nowMs + clockErrorMs };
+}
+
+/** An entry VM that starts at the given time with what the store holds. */
+function restart(id: string, stored: readonly StoredCrashes[], at: Instant): CrashQuarantine {
+  const quarantine = quarantineOf(id);
+  quarantine.restore(stored, at);
+  return quarantine;
+}
+
+it('an entry VM that restarts refuses the content that it had stored', () => {
+  const before = quarantineOf('vm-1');
+  crashThreeServers(before);
+  const stored = before.unsavedCrashes(instantAt(10));
+  expect(stored.map(({ crashes }) => crashes)).to.deep.equal([['s1@a', 's2@a', 's3@a']]);
+  const after = restart('vm-1', stored, instantAt(5_000));
+  expect(after.verdict(CONTENT, 5_000).type).to.equal('refuse');
+  expect(after.unsavedCrashes(instantAt(5_000))).to.be.empty;
+});
+
+// Guards against content that no entry VM tries any more, or that all of them try, after they restarted.
+it('after a restart only the entry VM that had seen a crash tries the content', () => {
+  const before = quarantineOf('vm-1');
+  crashThreeServers(before);
+  const stored = before.unsavedCrashes(instantAt(0));
+  const verdictOf = (id: string): string =>
+    restart(id, stored, instantAt(0)).verdict(CONTENT, 2 * MINUTE_MS).type;
+  expect(verdictOf('vm-1')).to.equal('trial');
+  expect(verdictOf('vm-2')).to.equal('refuse');
+});
+
+it('stored evidence counts although the wall clock has jumped', () => {
+  const before = quarantineOf('vm-1');
+  crashThreeServers(before);
+  const stored = before.unsavedCrashes(instantAt(0));
+  [-10_000, 10_000].forEach((clockErrorMs) => {
+    const after = restart('vm-1', stored, instantAt(1_000, clockErrorMs));
+    expect(after.verdict(CONTENT, 1_000).type).to.equal('refuse');
+  });
+});
+
+it('evidence is written again only after a further crash that the entry VM saw itself', () => {
+  const first = quarantineOf('vm-1');
+  const second = quarantineOf('vm-2');
+  crashThreeServers(first);
+  const [evidence] = first.unsavedCrashes(instantAt(0));
+  first.recordSaved(evidence as StoredCrashes);
+  second.merge(first.flushReports(0), 0);
+  second.recordCrash(CONTENT, 's4@a', 1);
+  first.merge(second.flushReports(2), 2);
+  expect(first.unsavedCrashes(instantAt(3))).to.be.empty;
+  expect(second.unsavedCrashes(instantAt(3))).to.have.length(1);
+  first.recordCrash(CONTENT, 's5@a', 4);
+  expect(first.unsavedCrashes(instantAt(5))).to.have.length(1);
+});
+
+it('stored evidence is obsolete once the content has run to an end, or is too old', () => {
+  const before = quarantineOf('vm-1');
+  crashThreeServers(before);
+  const stored = before.unsavedCrashes(instantAt(0));
+  const released = restart('vm-1', stored, instantAt(0));
+  released.recordCompletion(CONTENT, 1);
+  expect(released.obsoleteCrashes(2)).to.deep.equal([CONTENT]);
+  const aged = restart('vm-1', stored, instantAt(0));
+  expect(aged.obsoleteCrashes(MINUTE_MS)).to.be.empty;
+  aged.tick(31 * MINUTE_MS);
+  expect(aged.obsoleteCrashes(31 * MINUTE_MS)).to.deep.equal([CONTENT]);
+  aged.recordRemoved(CONTENT);
+  aged.tick(31 * MINUTE_MS);
+  expect(aged.size).to.equal(0);
+});
+
 it('evidence is bounded in number and age, and reports in size', () => {
   const quarantine = quarantineOf('vm-1');
   crashThreeServers(quarantine);
--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -1,10 +1,11 @@
 /** Facts from the platform's store in the internal model, and the interface to the store. */
 import type { Result } from 'ts-results-es';
-import type { FactKind, PeerRecord } from '../coordination/index.js';
+import type { FactKind, PeerRecord, StoredCrashes } from '../coordination/index.js';
 import type {
   BackendServerId,
   BackendServerRecord,
   FailureDomainId,
+  Fingerprint,
   SteeringPlan,
 } from '../state/index.js';
 
@@ -36,7 +37,9 @@
   /** The store no longer keeps the history since the requested revision. */
   | 'history_gone'
   | 'unreadable'
-  | 'conflict';
+  | 'conflict'
+  /** The object does not exist. */
+  | 'missing';
 
 export interface ListOptions {
   /** Aborts the call. */
@@ -45,6 +48,12 @@
   readonly mayBeStale?: boolean;
 }
 
+/** What entry VMs have stored about content that crashes backend servers. */
+export interface CrashList {
+  readonly crashes: readonly StoredCrashes[];
+  readonly unreadable: readonly (Fact & { readonly type: 'unreadable' })[];
+}
+
 /** Interface to the platform's store. */
 export interface FactStore {
   /** Lists all facts of a kind. */
@@ -66,4 +75,10 @@
   peers(): Promise<Result<readonly PeerRecord[], StoreFailure>>;
   /** Publishes the addresses of this entry VM. */
   announce(record: PeerRecord): Promise<Result<void, StoreFailure>>;
+  /** Lists the evidence about content that crashes backend servers. */
+  crashes(options?: ListOptions): Promise<Result<CrashList, StoreFailure>>;
+  /** Writes the evidence about one content in place of what is stored. */
+  saveCrashes(evidence: StoredCrashes): Promise<Result<void, StoreFailure>>;
+  /** Removes the evidence about one content, if there is any. */
+  removeCrashes(fingerprint: Fingerprint): Promise<Result<void, StoreFailure>>;
 }
--- a/src/transport/crashguards.ts
+++ b/src/transport/crashguards.ts
@@ -7,6 +7,7 @@
   CrashQuarantine,
   CrashReport,
   KnownServer,
+  StoredCrashes,
 } from '../coordination/index.js';
 import type { EntryVmId } from '../state/index.js';
 import type { Clock } from './clocks.js';
@@ -23,8 +24,13 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: NodeMetrics;
+  /** Called when content is newly refused, or no longer. */
+  readonly onChange: () => void;
 }
 
+/** Where evidence comes from: an entry VM, or the store. */
+export type EvidenceSource = EntryVmId | 'store';
+
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
 
@@ -87,9 +93,15 @@
       .forEach((change) => this.#logChange(change, from));
   }
 
-  #logChange(change: ContentChange | undefined, source: EntryVmId): void {
+  /** Adopts evidence from the store. */
+  restore(stored: readonly StoredCrashes[]): void {
+    const { quarantine, clock } = this.#options;
+    quarantine.restore(stored, clock()).forEach((change) => this.#logChange(change, 'store'));
+  }
+
+  #logChange(change: ContentChange | undefined, source: EvidenceSource): void {
     if (change === undefined) return;
-    const { log, metrics, quarantine } = this.#options;
+    const { log, metrics, quarantine, onChange } = this.#options;
     const { type, fingerprint, crashes } = change;
     metrics.setQuarantined(quarantine.quarantined);
     log(type === 'quarantined' ? 'contentQuarantined' : 'contentReleased', {
@@ -97,5 +109,6 @@
       crashes,
       source,
     });
+    onChange();
   }
 }
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -18,6 +18,7 @@
 import { RequestProxy } from './requestproxies.js';
 import { pause, systemClock } from './clocks.js';
 import type { Clock } from './clocks.js';
+import { CrashArchive } from './crasharchives.js';
 import { CrashGuard } from './crashguards.js';
 import { FactWatcher } from './factwatches.js';
 import {
@@ -88,6 +89,8 @@
 
   readonly #quarantine: CrashQuarantine;
 
+  readonly #crashArchive: CrashArchive;
+
   readonly #proxy: RequestProxy;
 
   readonly #peerSync: PeerSync;
@@ -155,6 +158,15 @@
       clock,
       log,
       metrics: this.#metrics,
+      onChange: () => this.#crashArchive.sync(),
+    });
+    this.#crashArchive = new CrashArchive({
+      store,
+      quarantine: this.#quarantine,
+      crashGuard,
+      clock,
+      log,
+      metrics: this.#metrics,
     });
     const noticeRecorder = new NoticeRecorder({
       notices: this.#loadBalancer.notices,
@@ -237,6 +249,7 @@
     const cfg = this.#cfg;
     this.#startedMs = this.#options.clock().nowMs;
     this.#factWatcher.start();
+    this.#crashArchive.start();
     this.#announce();
     await this.#peerSync.start();
     this.#callerServer = await startCallerServer(this.#proxy, cfg.callerAddress);
@@ -266,6 +279,7 @@
     await this.#drainUntil(this.#shutdown.endMs + LAST_RESPONSES_MS);
     this.#timers.forEach((timer) => clearInterval(timer));
     this.#factWatcher.stop();
+    this.#crashArchive.stop();
     this.#peerSync.stop();
     this.#servers.forEach((server) => server.close());
     this.#pool.close();
@@ -320,6 +334,7 @@
     this.#assignWatch(nowMs);
     this.#loadBalancer.tick(nowMs);
     this.#quarantine.tick(nowMs);
+    this.#crashArchive.sync();
     this.#measureUtilization();
   }
 
@@ -336,7 +351,9 @@
   /** Starts or stops watching the store, depending on which entry VMs are live and reach the store. */
   #assignWatch(nowMs: number): void {
     if (this.#shutdown.stopping || nowMs - this.#startedMs < PEER_DISCOVERY_MS) return;
-    this.#factWatcher.assign(this.#peers.shouldWatch(nowMs));
+    const assigned = this.#peers.shouldWatch(nowMs);
+    if (assigned && !this.#factWatcher.assigned) this.#crashArchive.refresh();
+    this.#factWatcher.assign(assigned);
   }
 
   #removeServer(id: BackendServerId): void {
--- a/src/transport/logs.ts
+++ b/src/transport/logs.ts
@@ -95,6 +95,18 @@
     text: 'content crashes backend servers, refused from now on',
   },
   contentTried: { id: 511, level: 'warn', text: 'quarantined content is tried once more' },
+  crashesSaved: { id: 514, level: 'info', text: 'evidence of content that crashes servers stored' },
+  crashesRemoved: { id: 515, level: 'info', text: 'evidence of content removed from the store' },
+  crashesUnsaved: {
+    id: 516,
+    level: 'warn',
+    text: 'store does not take evidence of content that crashes servers, will retry',
+  },
+  crashesUnread: {
+    id: 517,
+    level: 'warn',
+    text: 'store does not list content that crashes servers, will retry',
+  },
   serverLeaving: { id: 512, level: 'info', text: 'backend server announced that it leaves' },
   serverHeldOff: {
     id: 513,
--- a/src/transport/tests/factwatches.test.ts
+++ b/src/transport/tests/factwatches.test.ts
@@ -59,6 +59,18 @@
     return Ok(undefined);
   }
 
+  async crashes(): ReturnType<FactStore['crashes']> {
+    return Ok({ crashes: [], unreadable: [] });
+  }
+
+  async saveCrashes(): ReturnType<FactStore['saveCrashes']> {
+    return Ok(undefined);
+  }
+
+  async removeCrashes(): ReturnType<FactStore['removeCrashes']> {
+    return Ok(undefined);
+  }
+
   count(name: string): number {
     return this.calls.filter((call) => call.name === name).length;
   }
--- a/standins/crashingservers.ts
+++ b/standins/crashingservers.ts
@@ -16,14 +16,14 @@
 
   readonly #store: FactStoreStandIn;
 
-  readonly #crashesOn: (run: PlatformRun) => boolean;
+  /** Whether a request crashes the server that runs it. */
+  crashesOn: (run: PlatformRun) => boolean;
 
   readonly #timers = new Set<NodeJS.Timeout>();
 
-  /** @param crashesOn - whether a request crashes the server that runs it. */
   constructor(store: FactStoreStandIn, crashesOn: (run: PlatformRun) => boolean) {
     this.#store = store;
-    this.#crashesOn = crashesOn;
+    this.crashesOn = crashesOn;
   }
 
   /** Starts one more server and lists it in the store. */
@@ -31,7 +31,7 @@
     const server = new PlatformServerStandIn();
     const id = `s${this.servers.length}`;
     this.servers.push(server);
-    server.crashesOn = this.#crashesOn;
+    server.crashesOn = (run) => this.crashesOn(run);
     server.onCrash = () => {
       this.crashedAtMs.push(performance.now());
       const timer = setTimeout(() => {
--- a/standins/factstores.ts
+++ b/standins/factstores.ts
@@ -159,6 +159,7 @@
     } else if (this.faults.refuse !== undefined) sendJson(res, this.faults.refuse, {});
     else if (kind === this.faults.refusedKind) sendJson(res, 503, {});
     else if (req.method === 'GET') await this.#read(url, kind, res);
+    else if (req.method === 'DELETE') this.#delete(kind, name ?? '', res);
     else await this.#write(await readObject(req), kind, name, res);
   }
 
@@ -230,6 +231,12 @@
     }
   }
 
+  #delete(kind: string, name: string, res: ServerResponse): void {
+    const existing = this.#objects.get(kind)?.get(name);
+    this.remove(kind, name);
+    sendJson(res, existing === undefined ? 404 : 200, existing ?? {});
+  }
+
   async #write(
     object: StoreObject,
     kind: string,
