Withhold the burst of retries from entry VMs that have restarted

Each entry VM takes its share of the burst of the retry budget by its own count.

Change: a process uses no part of the burst in its first window, unless its announcement in the store created the object: then no earlier process of this VM has retried anything. Retries that its own requests pay for go on. It costs no call, since the announcement is made anyway. Weighed: asking the others for counts, which a restart of all forgets as well.

A first start, on which the whole deployment begins, is as before.

--- a/src/coordination/retrybudgets.ts
+++ b/src/coordination/retrybudgets.ts
@@ -23,6 +23,9 @@
 
   readonly #counters = new Map<ServiceName, ServiceCounters>();
 
+  /** Time before which no part of the burst is used. */
+  #burstFromMs = -Infinity;
+
   constructor(limits: RetryLimits) {
     this.#limits = limits;
   }
@@ -31,6 +34,20 @@
     this.#limits = limits;
   }
 
+  /**
+   * Withholds the burst for one window, in which an earlier process of this entry VM may have used it.
+   *
+   * @param nowMs - when this process started.
+   */
+  withholdBurst(nowMs: number): void {
+    this.#burstFromMs = nowMs + this.#limits.windowMs;
+  }
+
+  /** Ends `withholdBurst`, as there was no earlier process. */
+  releaseBurst(): void {
+    this.#burstFromMs = -Infinity;
+  }
+
   /** Counts a request from a caller. */
   recordRequest(service: ServiceName, nowMs: number): void {
     this.#countersOf(service).requests.add(this.#limits.windowMs, nowMs);
@@ -45,7 +62,8 @@
   trySpend(service: ServiceName, entryVms: number, nowMs: number): boolean {
     const { ratio, burst, windowMs } = this.#limits;
     const { requests, retries } = this.#countersOf(service);
-    const allowed = ratio * requests.sum(windowMs, nowMs) + burst / Math.max(1, entryVms);
+    const burstShare = nowMs < this.#burstFromMs ? 0 : burst / Math.max(1, entryVms);
+    const allowed = ratio * requests.sum(windowMs, nowMs) + burstShare;
     if (retries.sum(windowMs, nowMs) + 1 > allowed * LIMIT_USAGE_RATIO) return false;
     retries.add(windowMs, nowMs);
     return true;
--- a/src/protocol/facts.ts
+++ b/src/protocol/facts.ts
@@ -54,6 +54,9 @@
   readonly unreadable: readonly (Fact & { readonly type: 'unreadable' })[];
 }
 
+/** What a write did to its object. */
+export type WriteResult = 'created' | 'replaced';
+
 /** Interface to the platform's store. */
 export interface FactStore {
   /** Lists all facts of a kind. */
@@ -73,12 +76,12 @@
   revision(): Promise<Result<number, StoreFailure>>;
   /** Lists the addresses that entry VMs have published. */
   peers(): Promise<Result<readonly PeerRecord[], StoreFailure>>;
-  /** Publishes the addresses of this entry VM. */
-  announce(record: PeerRecord): Promise<Result<void, StoreFailure>>;
+  /** Publishes the addresses of this entry VM. The result tells whether it was published for the first time. */
+  announce(record: PeerRecord): Promise<Result<WriteResult, StoreFailure>>;
   /** Lists the evidence about content that crashes backend servers. */
   crashes(options?: ListOptions): Promise<Result<CrashList, StoreFailure>>;
   /** Writes the evidence about one content in place of what is stored. */
-  saveCrashes(evidence: StoredCrashes): Promise<Result<void, StoreFailure>>;
+  saveCrashes(evidence: StoredCrashes): Promise<Result<WriteResult, StoreFailure>>;
   /** Removes the evidence about one content, if there is any. */
   removeCrashes(fingerprint: Fingerprint): Promise<Result<void, StoreFailure>>;
 }
--- a/src/transport/crasharchives.ts
+++ b/src/transport/crasharchives.ts
@@ -101,7 +101,7 @@
   }
 
   /** Records the result of a write. @returns whether it succeeded. */
-  #recordWrite(fingerprint: Fingerprint, result: Result<void, StoreFailure>): boolean {
+  #recordWrite(fingerprint: Fingerprint, result: Result<unknown, StoreFailure>): boolean {
     const failure = result.isErr() ? result.error : undefined;
     this.#countCall(failure);
     if (failure === undefined) return true;
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -248,6 +248,7 @@
     const { dialect, log } = this.#options;
     const cfg = this.#cfg;
     this.#startedMs = this.#options.clock().nowMs;
+    this.#budget.withholdBurst(this.#startedMs);
     this.#factWatcher.start();
     this.#crashArchive.start();
     this.#announce();
@@ -371,6 +372,7 @@
     const { store } = this.#options;
     for (;;) {
       const written = await store.announce(this.#self);
+      if (written.isOk() && written.value === 'created') this.#budget.releaseBurst();
       const listed = await store.peers();
       if (listed.isOk()) this.#peers.addList(listed.value);
       if ((written.isOk() && listed.isOk()) || this.#shutdown.stopping) return;
--- a/src/transport/tests/factwatches.test.ts
+++ b/src/transport/tests/factwatches.test.ts
@@ -56,7 +56,7 @@
   }
 
   async announce(): ReturnType<FactStore['announce']> {
-    return Ok(undefined);
+    return Ok('created');
   }
 
   async crashes(): ReturnType<FactStore['crashes']> {
@@ -64,7 +64,7 @@
   }
 
   async saveCrashes(): ReturnType<FactStore['saveCrashes']> {
-    return Ok(undefined);
+    return Ok('created');
   }
 
   async removeCrashes(): ReturnType<FactStore['removeCrashes']> {
