Divide requests to cold servers among all listed VMs until the live ones are known

Two VMs may send to a cold server, chosen by name among the live ones.

Change: until the time in which a silent VM counts as dead is over, 2.5 s after its start, a VM divides by the store's list of all VMs, and sends to no cold server before it has that list. VMs that died meanwhile leave a cold server with fewer senders for that time, which is the safe side. Afterwards live VMs count, as before, with or without the store.

--- a/src/coordination/loadbalancers.ts
+++ b/src/coordination/loadbalancers.ts
@@ -137,7 +137,7 @@
 
   readonly #warmupLimiter: WarmupLimiter;
 
-  #liveEntryVms: readonly EntryVmId[];
+  #sharingEntryVms: readonly EntryVmId[];
 
   /** Live entry VMs of this one's failure domain, this one included. */
   #liveInDomain = 1;
@@ -147,16 +147,17 @@
     this.#options = options;
     this.#networkCosts = new NetworkCosts(options.home, options.regions);
     this.#warmupLimiter = new WarmupLimiter(options.self);
-    this.#liveEntryVms = [options.self];
+    this.#sharingEntryVms = [options.self];
   }
 
   /**
-   * Sets the live entry VMs.
+   * Sets the other entry VMs.
    *
+   * @param sharing - those among which requests to cold servers are divided.
    * @param liveInDomain - number of those in this one's failure domain, this one included.
    */
-  setLiveEntryVms(liveEntryVms: readonly EntryVmId[], liveInDomain: number): void {
-    this.#liveEntryVms = liveEntryVms;
+  setEntryVms(sharing: readonly EntryVmId[], liveInDomain: number): void {
+    this.#sharingEntryVms = sharing;
     this.#liveInDomain = liveInDomain;
   }
 
@@ -282,7 +283,7 @@
     return this.#warmupLimiter.tryTake(
       server.record.id,
       warmupPerS * this.#options.coldOverage,
-      this.#liveEntryVms,
+      this.#sharingEntryVms,
       nowMs,
     );
   }
--- a/src/coordination/peerviews.ts
+++ b/src/coordination/peerviews.ts
@@ -90,8 +90,13 @@
 
   #listed = false;
 
-  constructor(self: PeerRecord) {
+  /** When others have had time to be heard. */
+  readonly #settledMs: number;
+
+  /** @param startedMs - when this entry VM started, monotonic. */
+  constructor(self: PeerRecord, startedMs = -Infinity) {
     this.#self = self;
+    this.#settledMs = startedMs + HEARTBEAT_TIMEOUT_MS;
   }
 
   /** Records of all known entry VMs except this one. */
@@ -176,6 +181,16 @@
     return [this.#self.id, ...others.map((peer) => peer.record.id)];
   }
 
+  /**
+   * Entry VMs among which work is divided by name, this one included. An entry VM that has just started has not
+   * heard the others yet: until it would have, all that the store lists count, and without a list nobody, so that
+   * entry VMs that start together do not each take the work of all.
+   */
+  sharing(nowMs: number): readonly EntryVmId[] {
+    if (nowMs >= this.#settledMs) return this.live(nowMs);
+    return this.#listed ? [this.#self.id, ...this.#peers.keys()] : [];
+  }
+
   /** Counts the live entry VMs of this one's failure domain, this one included. */
   countLiveInDomain(nowMs: number): number {
     const others = [...this.#peers.values()].filter(
--- a/src/coordination/tests/shares.test.ts
+++ b/src/coordination/tests/shares.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type {
+  BackendServerId,
   Endpoint,
   EntryVmId,
   FailureDomainId,
@@ -14,6 +15,7 @@
 import { RegionShares } from '../regionshares.js';
 import type { RegionCapacity } from '../regionshares.js';
 import { RetryBudget } from '../retrybudgets.js';
+import { WarmupLimiter } from '../warmuplimiters.js';
 import { Waitlist } from '../waitlists.js';
 import { SERVICE } from './fixtures.js';
 
@@ -233,3 +235,43 @@
   expect(view.findNewer({ plan: 1, servers: 1, evacuations: 1 }, 10)?.id).to.equal(SAME_DOMAIN.id);
   expect(view.findNewer(newer, 10)).to.equal(undefined);
 });
+
+const RESTARTED_VMS = Array.from({ length: 30 }, (_, i) => peerOf(`vm-${i}`, 'a1', 'a'));
+const COLD_SERVER = 's1' as BackendServerId;
+
+/** Requests per second that the cold server tolerates, and those above that count as a breach, in a second. */
+const WARMUP_PER_S = 19.5;
+const COLD_SLACK = 5;
+
+// Guards against entry VMs that all restart, know no others yet, and each send to a cold server as if alone.
+it('entry VMs that start together do not send more to a cold server than it tolerates', () => {
+  const vms = RESTARTED_VMS.map((record, i) => {
+    const view = new PeerView(record, 0);
+    return { id: record.id, view, limiter: new WarmupLimiter(record.id), listedMs: i * 5 };
+  });
+  const sentMs: number[] = [];
+  for (let nowMs = 0; nowMs < 4_000; nowMs += 5) {
+    vms.forEach(({ id, view, limiter, listedMs }) => {
+      if (nowMs === listedMs) view.addList(RESTARTED_VMS);
+      if (nowMs % 600 === 595 && nowMs < 3_000) {
+        RESTARTED_VMS.filter((record) => record.id !== id).forEach((record) =>
+          view.recordHeartbeat(heartbeatOf(record), nowMs),
+        );
+      }
+      const sharing = view.sharing(nowMs);
+      if (limiter.tryTake(COLD_SERVER, WARMUP_PER_S, sharing, nowMs)) sentMs.push(nowMs);
+    });
+  }
+  const inSecondFrom = (fromMs: number): number =>
+    sentMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + 1_000).length;
+  const most = Math.max(...sentMs.map(inSecondFrom));
+  expect(most).to.be.greaterThan(0);
+  expect(most).to.be.at.most(WARMUP_PER_S + COLD_SLACK);
+});
+
+it('an entry VM that has no list of the others counts only those that it has heard, once they had time', () => {
+  const view = new PeerView(SELF, 1_000);
+  view.recordHeartbeat(heartbeatOf(SAME_DOMAIN), 1_500);
+  expect(view.sharing(1_600)).to.deep.equal([]);
+  expect(view.sharing(3_600)).to.deep.equal([SELF.id, SAME_DOMAIN.id]);
+});
--- a/src/transport/entrynodes.ts
+++ b/src/transport/entrynodes.ts
@@ -122,7 +122,7 @@
       callerAddress: cfg.callerAddress,
       peerAddress: cfg.peerAddress,
     };
-    this.#peers = new PeerView(this.#self);
+    this.#peers = new PeerView(this.#self, clock().nowMs);
     const { maxShift, coldOverage, retryRatio, retryBurst, retryWindowS } = cfg.bounds;
     const regions = new Map(Object.entries(cfg.regions) as [FailureDomainId, RegionId][]);
     const loadBalancerOptions = {
@@ -226,10 +226,7 @@
       onLiveChanged: () => {
         const { nowMs } = clock();
         this.#assignWatch(nowMs);
-        this.#loadBalancer.setLiveEntryVms(
-          this.#peers.live(nowMs),
-          this.#peers.countLiveInDomain(nowMs),
-        );
+        this.#divideWork(nowMs);
       },
       onMerged: ({ kinds, gone }) => {
         kinds.forEach((kind) => this.#factWatcher.restartWatch(kind));
@@ -333,6 +330,7 @@
       this.#removeServer(id);
     });
     this.#assignWatch(nowMs);
+    this.#divideWork(nowMs);
     this.#loadBalancer.tick(nowMs);
     this.#quarantine.tick(nowMs);
     this.#crashArchive.sync();
@@ -357,6 +355,11 @@
     this.#factWatcher.assign(assigned);
   }
 
+  #divideWork(nowMs: number): void {
+    const peers = this.#peers;
+    this.#loadBalancer.setEntryVms(peers.sharing(nowMs), peers.countLiveInDomain(nowMs));
+  }
+
   #removeServer(id: BackendServerId): void {
     this.#pool.remove(id);
   }
@@ -374,7 +377,10 @@
       const written = await store.announce(this.#self);
       if (written.isOk() && written.value === 'created') this.#budget.releaseBurst();
       const listed = await store.peers();
-      if (listed.isOk()) this.#peers.addList(listed.value);
+      if (listed.isOk()) {
+        this.#peers.addList(listed.value);
+        this.#divideWork(this.#options.clock().nowMs);
+      }
       if ((written.isOk() && listed.isOk()) || this.#shutdown.stopping) return;
       await pause(ANNOUNCE_RETRY_MS * (0.5 + Math.random()));
     }
