Bound the bytes around a response's body

At the deployed program memory held, 90 to 250 MB, but the processor did not: 40 requests at once to two servers that send without end took 2.5 to 7 s of processor time and up to 6.9 s to be answered, with interim responses (6,960 ms), chunks of one byte (6,490), many fields or trailers (2,690, 2,930), empty lines (2,600), blanks before a value (3,050), a status text (2,630), chunk sizes and extensions (2,560 to 2,940), and lines after a whole response on a kept connection (3,070). Other callers got 503 `overloaded` for up to 41 of 59 requests (interim responses with fields) and waited up to 5.7 s.

Cause: what the HTTP client skips is not counted by anybody: the size of a body and of the fields of one head are bounded, interim responses, chunk framing, blanks and lines are not, so they are parsed until the request's deadline.

Change: a connection counts all bytes that it received for a response. What is not body may be 20 KB and a quarter of the body, and interim responses 100; beyond that the connection is destroyed and the request is lost at once. Received bytes are parsed in slices of 4 KB, with the count before each, so that a read of 64 KB costs no more than the bound. The buffer for responses is a fifth of the smallest VM's 250 MB, 48 MB in place of 64.

Sound responses in chunks of 32 bytes, of 3,000 chunks of one byte, with a head of 15 KB and with 50 interim responses stay whole (upstreams.test.ts).

--- a/src/transport/responsebuffers.ts
+++ b/src/transport/responsebuffers.ts
@@ -4,8 +4,8 @@
  * collection.
  */
 
-/** Memory for incomplete responses, in bytes: a fifth of a small VM's. */
-const MAX_BUFFERED_BYTES = 67_108_864;
+/** Memory for incomplete responses, in bytes: a fifth of the smallest VM's 250 MB. */
+const MAX_BUFFERED_BYTES = 50_331_648;
 
 /** Size of a page, in bytes: most responses fit into one, and a download into a few. */
 export const PAGE_BYTES = 16_384;
--- a/src/transport/tests/upstreams.test.ts
+++ b/src/transport/tests/upstreams.test.ts
@@ -78,3 +78,48 @@
   upstream.close();
   server.close();
 });
+
+/** Sends a request to a server that responds with the given bytes. */
+async function receive(response: string): Promise<UpstreamEnd> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.write(response));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const upstream = createUpstream(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const end = await new Promise<UpstreamEnd>((resolve) => {
+    upstream.send(REQUEST, resolve);
+  });
+  upstream.close();
+  server.close();
+  return end;
+}
+
+/** A chunked response of `count` chunks of `size` bytes. */
+function chunkedResponse(count: number, size: number): string {
+  const chunk = `${size.toString(16)}\r\n${'x'.repeat(size)}\r\n`;
+  return `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(count)}0\r\n\r\n`;
+}
+
+function bodyBytes(end: UpstreamEnd): number | undefined {
+  return end.type === 'answered' ? end.response.body.length : undefined;
+}
+
+// Guards against sound responses that are taken for bytes without end.
+it('responses in small chunks, with a long head or after interim responses are whole', async () => {
+  expect(bodyBytes(await receive(chunkedResponse(3_000, 1)))).to.equal(3_000);
+  expect(bodyBytes(await receive(chunkedResponse(200_000, 32)))).to.equal(6_400_000);
+  const field = `Filler: ${'x'.repeat(15_000)}\r\n`;
+  const length = 'Content-Length: 2\r\n';
+  expect(bodyBytes(await receive(`HTTP/1.1 200 OK\r\n${field}${length}\r\nok`))).to.equal(2);
+  const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'.repeat(50);
+  expect(bodyBytes(await receive(`${interim}HTTP/1.1 200 OK\r\n${length}\r\nok`))).to.equal(2);
+});
+
+it('a response with many more bytes around its body than in it is lost', async () => {
+  expect((await receive(chunkedResponse(30_000, 1))).type).to.equal('lost');
+  const interim = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(2_000);
+  expect((await receive(interim)).type).to.equal('lost');
+});
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -70,15 +70,51 @@
 /** Maximum size of a response's body. */
 const MAX_RESPONSE_BYTES = 33_554_432;
 
+/**
+ * Maximum number of bytes around a body: heads, interim responses, chunk sizes and extensions, trailers. A share
+ * of the body is allowed on top, for its chunks. Parsing such bytes costs far more than the body's, and a faulty
+ * server may send them without end.
+ */
+const MAX_FRAMING_BYTES = 20_480;
+const MAX_FRAMING_PER_BODY_BYTE = 0.25;
+
+/** Received bytes that are parsed at a time, so that a limit takes effect soon. */
+const SLICE_BYTES = 4_096;
+
+/** Maximum number of interim responses to a request. */
+const MAX_INTERIM_RESPONSES = 100;
+
 const FIRST_FINAL_STATUS = 200;
 
 const CONNECT_TIMEOUT_MESSAGE = 'connect timed out';
 
+/** A socket whose received bytes are read in slices, with a check before each. */
+class SlicedSocket extends net.Socket {
+  readonly #check: () => void;
+
+  constructor(check: () => void) {
+    super();
+    this.#check = check;
+  }
+
+  /** Bytes that were received and read. */
+  get readBytes(): number {
+    return this.bytesRead - this.readableLength;
+  }
+
+  override read(size?: number): ReturnType<net.Socket['read']> {
+    this.#check();
+    if (this.destroyed) return null;
+    const available = this.readableLength;
+    return super.read(size ?? (available > SLICE_BYTES ? SLICE_BYTES : undefined));
+  }
+}
+
 /** One connection and its state. */
 class Connection {
   readonly client: Client;
 
-  #socket: net.Socket | undefined;
+  #socket: SlicedSocket | undefined;
 
   /** Whether the current socket failed. */
   #broken = false;
@@ -88,10 +124,18 @@
   /** When the last response ended, monotonic, in milliseconds. */
   lastUsedMs = -Infinity;
 
+  /** Bytes that were read before the current request. */
+  #bytesBefore = 0;
+
+  /** Bytes of the body of the current response. */
+  #bodyBytes = 0;
+
   constructor(address: Endpoint, { connectTimeoutMs, onConnected, nowMs }: UpstreamOptions) {
     const url = new URL(`http://${address}`);
     this.client = new Client(url.origin, {
       pipelining: 1,
+      // Takes no effect below the limit of all framing: the client makes an error for each field beyond its own.
+      maxHeaderSize: 2 * MAX_FRAMING_BYTES,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -99,7 +143,8 @@
         const startedMs = nowMs();
         this.connected = false;
         this.#broken = false;
-        const socket = net.connect({ host: url.hostname, port: Number(url.port), noDelay: true });
+        const socket = new SlicedSocket(() => this.#limitFraming());
+        socket.connect({ host: url.hostname, port: Number(url.port), noDelay: true });
         this.#socket = socket;
         const timer = setTimeout(
           () => socket.destroy(new Error(CONNECT_TIMEOUT_MESSAGE)),
@@ -140,6 +185,24 @@
     return this.connected && !this.#broken && this.#socket?.destroyed === false;
   }
 
+  /** Records that a request is about to be sent. */
+  beginRequest(): void {
+    this.#bytesBefore = this.#socket?.readBytes ?? 0;
+    this.#bodyBytes = 0;
+  }
+
+  /** Counts bytes of a response's body. */
+  countBody(bytes: number): void {
+    this.#bodyBytes += bytes;
+  }
+
+  #limitFraming(): void {
+    const received = (this.#socket?.readBytes ?? 0) - this.#bytesBefore;
+    const framing = received - this.#bodyBytes;
+    if (framing > MAX_FRAMING_BYTES + this.#bodyBytes * MAX_FRAMING_PER_BODY_BYTE)
+      this.#socket?.destroy(new Error('response has too many bytes around its body'));
+  }
+
   /** Resets the connection, so that bytes held back by a network partition do not reach the server later. */
   reset(): void {
     if (this.connected) this.#socket?.resetAndDestroy();
@@ -176,6 +239,7 @@
       else connection.destroy();
       onEnd(end);
     });
+    connection.beginRequest();
     const { method, path, headers, body = null } = request;
     const options = { method, path, headers, body } as Dispatcher.DispatchOptions;
     connection.client.dispatch(options, call);
@@ -243,6 +307,8 @@
 
   #receivedBytes = 0;
 
+  #interimResponses = 0;
+
   #status = 0;
 
   #headers: HeaderFields = {};
@@ -273,11 +339,16 @@
   onRequestStart(): void {}
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: HeaderFields,
   ): void {
-    if (status < FIRST_FINAL_STATUS) return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.#interimResponses += 1;
+      if (this.#interimResponses > MAX_INTERIM_RESPONSES)
+        controller.abort(new Error('too many interim responses'));
+      return;
+    }
     this.#status = status;
     this.#headers = headers;
   }
@@ -285,6 +356,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#ended) return;
     this.#receivedBytes += chunk.length;
+    this.#connection.countBody(chunk.length);
     this.#options.memory.append(this, chunk);
     if (this.#receivedBytes > MAX_RESPONSE_BYTES)
       controller.abort(new Error('response body is too large'));
