--- a/src/transport/tests/upstreams.test.ts
+++ b/src/transport/tests/upstreams.test.ts
@@ -123,3 +123,16 @@
   const interim = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(2_000);
   expect((await receive(interim)).type).to.equal('lost');
 });
+
+// Guards against requests that wait for the acknowledgement of earlier bytes before they are sent.
+it('connections to backend servers send small writes at once', async () => {
+  const { setNoDelay } = net.Socket.prototype;
+  const enabled: (boolean | undefined)[] = [];
+  net.Socket.prototype.setNoDelay = function record(enable): net.Socket {
+    enabled.push(enable);
+    return setNoDelay.call(this, enable);
+  };
+  await receive('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+  net.Socket.prototype.setNoDelay = setNoDelay;
+  expect(enabled).to.include(true);
+});
--- a/src/transport/upstreams.ts
+++ b/src/transport/upstreams.ts
@@ -94,6 +94,8 @@
 
   constructor(check: () => void) {
     super();
+    // As an option of `connect` it takes effect only with `net.connect`.
+    this.setNoDelay(true);
     this.#check = check;
   }
 
@@ -143,8 +145,9 @@
         const startedMs = nowMs();
         this.connected = false;
         this.#broken = false;
+        this.#bytesBefore = 0;
         const socket = new SlicedSocket(() => this.#limitFraming());
-        socket.connect({ host: url.hostname, port: Number(url.port), noDelay: true });
+        socket.connect({ host: url.hostname, port: Number(url.port) });
         this.#socket = socket;
         const timer = setTimeout(
           () => socket.destroy(new Error(CONNECT_TIMEOUT_MESSAGE)),
